--- /dev/null
+++ b/crates/agreement/src/lib.rs
@@ -0,0 +1,216 @@
+//! A replicated log in the manner of Raft: election with pre-vote and check-quorum, replication, membership
+//! changed one member at a time with learners first, snapshots, and reads confirmed by a majority.
+//!
+//! No sockets, no clock, no files. The host hands in what happened ([`Core::tick`], [`Core::receive`],
+//! [`Core::propose`], [`Core::read`], [`Core::saved`]) and carries out the [`Output`]: it writes every
+//! [`Save`] to disk, in order, and says when it is synced. Whatever a message promises (a vote, an
+//! acknowledged entry) leaves the core only after the save that backs it is synced; the leader's appends do
+//! not wait for its own disk, and its own copy counts only once it is synced.
+//!
+//! **Promises.** One leader a term; an entry that is committed is on the synced disks of a majority of the
+//! voters and is never lost while a majority keeps its disks; all apply the same entries in the same order.
+//! **May lose.** What was proposed and not yet committed. **Neighbours down.** Without a majority nothing
+//! commits, no read is confirmed, and a leader steps down after an election time-out.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod core;
+mod members;
+
+pub use crate::core::{Core, Role, Status};
+pub use crate::members::Members;
+
+use serde::{Deserialize, Serialize};
+
+/// A member's identity: drawn once for each life of a disk, so that a wiped machine is a new member.
+pub type NodeId = u64;
+
+/// What an entry carries.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Payload {
+    /// Nothing: a new leader's first entry, which lets it commit what came before.
+    Empty,
+    /// The host's.
+    Data(#[serde(with = "bytes")] Vec<u8>),
+    /// The members from here on.
+    Members(Members),
+}
+
+/// An entry of the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The term of the leader that wrote it.
+    pub term: u64,
+    /// Its place, from 1.
+    pub index: u64,
+    /// What it carries.
+    pub payload: Payload,
+}
+
+/// The applied state up to an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The last entry that it covers.
+    pub index: u64,
+    /// That entry's term.
+    pub term: u64,
+    /// The members as of that entry.
+    pub members: Members,
+    /// The host's state.
+    #[serde(with = "bytes")]
+    pub data: Vec<u8>,
+}
+
+/// What a member says to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// Who says it.
+    pub from: NodeId,
+    /// To whom.
+    pub to: NodeId,
+    /// The sender's term (the one it would campaign in, for a pre-vote).
+    pub term: u64,
+    /// What it says.
+    pub body: Body,
+}
+
+/// The kinds of messages.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// Asks for a vote, or (`pre`) whether one would be given.
+    Vote {
+        /// Only whether.
+        pre: bool,
+        /// The candidate's last entry.
+        last_index: u64,
+        /// That entry's term.
+        last_term: u64,
+    },
+    /// The answer to that.
+    VoteReply {
+        /// To a pre-vote.
+        pre: bool,
+        /// The vote.
+        granted: bool,
+    },
+    /// Entries that follow `prev`, and how far the log is committed; a heartbeat where there are none.
+    Append {
+        /// The entry before them.
+        prev_index: u64,
+        /// Its term.
+        prev_term: u64,
+        /// The entries.
+        entries: Vec<Entry>,
+        /// The leader's commit index.
+        commit: u64,
+        /// Counts the leader's rounds, to confirm reads.
+        round: u64,
+    },
+    /// A snapshot for a member that is behind the leader's log.
+    Install {
+        /// The snapshot.
+        snapshot: Snapshot,
+        /// As in an append.
+        round: u64,
+    },
+    /// The answer to an append or a snapshot.
+    AppendReply {
+        /// Whether the entries followed what the member has.
+        ok: bool,
+        /// With `ok`, the last entry known to match; without, where to try next.
+        index: u64,
+        /// The round it answers.
+        round: u64,
+    },
+    /// A member asks the leader for a confirmed commit index.
+    Read {
+        /// The member's own mark.
+        token: u64,
+    },
+    /// The answer: the index, or nothing where the asked one does not lead.
+    ReadReply {
+        /// The mark.
+        token: u64,
+        /// What must be applied before the read.
+        index: Option<u64>,
+    },
+}
+
+/// Something to be written and synced, in the order given.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Save {
+    /// To be handed back to [`Core::saved`].
+    pub seq: u64,
+    /// The term and the vote in it.
+    pub term: u64,
+    /// The vote.
+    pub vote: Option<NodeId>,
+    /// Entries that replace whatever the log had from the first of them on.
+    pub entries: Vec<Entry>,
+    /// A snapshot that replaces the whole log (it was received, not made here).
+    pub snapshot: Option<Snapshot>,
+}
+
+/// What a disk holds, as read at a start.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Stored {
+    /// The term.
+    pub term: u64,
+    /// The vote in it.
+    pub vote: Option<NodeId>,
+    /// The latest snapshot.
+    pub snapshot: Option<Snapshot>,
+    /// The entries after it, in order.
+    pub entries: Vec<Entry>,
+}
+
+/// What the host is to do.
+#[derive(Debug, Default)]
+pub struct Output {
+    /// To write, in order.
+    pub save: Vec<Save>,
+    /// To send; may be lost.
+    pub send: Vec<Message>,
+    /// A snapshot that replaces the host's state; comes before `committed`.
+    pub restored: Option<Snapshot>,
+    /// Entries to apply, in order.
+    pub committed: Vec<Entry>,
+    /// Reads that ended: the token, and the index to be applied first (`None`: ask again).
+    pub reads: Vec<(u64, Option<u64>)>,
+}
+
+/// How the core keeps time, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// A leader says something to each member this often.
+    pub heartbeat: u64,
+    /// Without a word from a leader for this long, up to twice as long, a member campaigns.
+    pub election: u64,
+}
+
+mod bytes {
+    //! Bytes as one string of bytes instead of a list of numbers.
+    use serde::de::{Error, Visitor};
+    use serde::{Deserializer, Serializer};
+
+    pub fn serialize<S: Serializer>(bytes: &[u8], to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_bytes(bytes)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<u8>, D::Error> {
+        struct Bytes;
+        impl Visitor<'_> for Bytes {
+            type Value = Vec<u8>;
+            fn expecting(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+                f.write_str("bytes")
+            }
+            fn visit_bytes<E: Error>(self, v: &[u8]) -> Result<Vec<u8>, E> {
+                Ok(v.to_vec())
+            }
+            fn visit_byte_buf<E: Error>(self, v: Vec<u8>) -> Result<Vec<u8>, E> {
+                Ok(v)
+            }
+        }
+        from.deserialize_byte_buf(Bytes)
+    }
+}
--- /dev/null
+++ b/crates/control-plane/src/cell.rs
@@ -0,0 +1,606 @@
+//! What one control balancer knows: its member of the log, the agreed state, sessions, the zones' upstreams,
+//! and the other control balancers. Everything runs on one thread; whoever waits for news waits on
+//! [`Cell::changes`].
+
+use std::cell::{Cell as Plain, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, mpsc as disk};
+use std::time::Duration;
+
+use agreement::{Core, Members, NodeId, Output, Payload, Role, Timing};
+use messages::settings::Settings;
+use messages::wire::{Bank, Control, News, Session, Tell, Upstream};
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::configuration::{Agreed, Command, Verdict};
+use crate::store::Order;
+
+/// A leader says something this often. Heartbeats cross regions, and their bytes are paid for.
+const HEARTBEAT: u64 = 300;
+/// Without a leader's word for so long, up to twice as long, a member campaigns: three heartbeats may be
+/// lost or late first.
+const ELECTION: u64 = 1000;
+/// The log's clock.
+const TICK: Duration = Duration::from_millis(50);
+/// The log is cut after so many entries.
+const COMPACT: usize = 256;
+/// Control balancers tell each other their sessions this often, changed or not.
+pub const TELL: Duration = Duration::from_millis(1000);
+/// One that has said nothing for so long is lost, and its sessions and its cell with it.
+const LAPSE: Duration = Duration::from_millis(3000);
+/// What is on its way to one peer; more is dropped, and told anew.
+const PEER_QUEUE: usize = 256;
+
+/// What is known of another control balancer.
+struct Peer {
+    at: Option<Control>,
+    to: mpsc::Sender<Tell>,
+    heard: Option<Instant>,
+    sessions: Vec<Session>,
+}
+
+/// A zone's upstreams as its cell told them last.
+#[derive(Clone)]
+struct Zone {
+    version: u64,
+    upstreams: Arc<Vec<Upstream>>,
+    /// When it was learned here.
+    at: Instant,
+}
+
+/// The state that goes into a snapshot.
+#[derive(Serialize, Deserialize)]
+struct Kept {
+    agreed: Agreed,
+}
+
+struct Inner {
+    core: Core,
+    agreed: Agreed,
+    applied: u64,
+    /// Orders under way, by their place in the log, with the term they were written in.
+    orders: BTreeMap<u64, (u64, oneshot::Sender<Verdict>)>,
+    reads: FxHashMap<u64, oneshot::Sender<Option<u64>>>,
+    next_read: u64,
+    peers: BTreeMap<SocketAddr, Peer>,
+    ids: FxHashMap<NodeId, SocketAddr>,
+    local: BTreeMap<String, (u64, Session)>,
+    zones: BTreeMap<String, Zone>,
+}
+
+/// One control balancer.
+pub struct Cell {
+    pub settings: Settings,
+    pub id: NodeId,
+    pub me: Control,
+    start: Instant,
+    inner: RefCell<Inner>,
+    disk: disk::Sender<Order>,
+    version: watch::Sender<u64>,
+    /// Peers to be dialled.
+    dial: mpsc::UnboundedSender<(SocketAddr, mpsc::Receiver<Tell>)>,
+    next_session: Plain<u64>,
+}
+
+/// Why an order got no verdict.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unclear {
+    /// Somebody else leads.
+    NotLeader(Option<SocketAddr>),
+    /// No majority answered in time; it may be taken or not.
+    NoMajority,
+}
+
+impl Cell {
+    pub fn new(
+        settings: Settings,
+        id: NodeId,
+        stored: agreement::Stored,
+        disk: disk::Sender<Order>,
+        dial: mpsc::UnboundedSender<(SocketAddr, mpsc::Receiver<Tell>)>,
+    ) -> Rc<Self> {
+        let timing = Timing { heartbeat: HEARTBEAT, election: ELECTION };
+        let core = Core::new(id, timing, id, stored, Members::default());
+        let me = Control {
+            inner: settings.inner(),
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+        };
+        let cell = Rc::new(Self {
+            id,
+            me,
+            start: Instant::now(),
+            inner: RefCell::new(Inner {
+                core,
+                agreed: Agreed::default(),
+                applied: 0,
+                orders: BTreeMap::new(),
+                reads: FxHashMap::default(),
+                next_read: 0,
+                peers: BTreeMap::new(),
+                ids: FxHashMap::default(),
+                local: BTreeMap::new(),
+                zones: BTreeMap::new(),
+            }),
+            disk,
+            version: watch::channel(0).0,
+            dial,
+            next_session: Plain::new(0),
+            settings,
+        });
+        cell.seeds(&cell.settings.seeds);
+        cell.with_core(|_| {});
+        cell
+    }
+
+    /// Other machines that serve control, as the settings file names them by now.
+    pub fn seeds(&self, seeds: &[SocketAddr]) {
+        for seed in seeds {
+            self.meet(self.settings.inner_of(*seed), None);
+        }
+    }
+
+    /// Wakes with every change of what the data plane or the directory may want to know.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.version.subscribe()
+    }
+
+    fn changed(&self) {
+        self.version.send_modify(|v| *v += 1);
+    }
+
+    // ---------------------------------------------------------------- the log
+
+    /// Keeps the log's time, and tells the others what stands here.
+    pub async fn keep_time(self: Rc<Self>) {
+        let mut told = Instant::now() - TELL;
+        loop {
+            self.with_core(|core| core.tick(self.start.elapsed().as_millis() as u64));
+            if told.elapsed() >= TELL {
+                told = Instant::now();
+                self.tell_sessions();
+                self.join();
+                self.forget_lapsed();
+            }
+            sleep(TICK).await;
+        }
+    }
+
+    /// Follows the disk; ends when it fails.
+    pub async fn follow_disk(self: Rc<Self>, mut saved: mpsc::UnboundedReceiver<u64>) {
+        while let Some(seq) = saved.recv().await {
+            self.with_core(|core| core.saved(seq));
+        }
+    }
+
+    /// Lets the core take something in, and carries out what it wants.
+    fn with_core<T>(&self, act: impl FnOnce(&mut Core) -> T) -> T {
+        let mut inner = self.inner.borrow_mut();
+        let result = act(&mut inner.core);
+        let out = inner.core.take();
+        let news = self.carry_out(&mut inner, out);
+        drop(inner);
+        if news {
+            self.changed();
+        }
+        result
+    }
+
+    fn carry_out(&self, inner: &mut Inner, out: Output) -> bool {
+        for save in out.save {
+            let _ = self.disk.send(Order::Save(save));
+        }
+        for message in out.send {
+            let known = inner.core.members().all().find(|(id, _)| *id == message.to);
+            let known = known.and_then(|(_, at)| at.parse().ok());
+            let at = known.or_else(|| inner.ids.get(&message.to).copied());
+            if let Some(peer) = at.and_then(|at| inner.peers.get(&at)) {
+                let _ = peer.to.try_send(Tell::Log(message));
+            }
+        }
+        let mut news = false;
+        if let Some(snapshot) = out.restored {
+            if let Ok(kept) = ciborium::from_reader::<Kept, _>(&snapshot.data[..]) {
+                inner.agreed = kept.agreed;
+            }
+            inner.applied = snapshot.index;
+            news = true;
+        }
+        for entry in out.committed {
+            inner.applied = entry.index;
+            let waiting = inner.orders.remove(&entry.index);
+            match entry.payload {
+                Payload::Data(data) => {
+                    let verdict = match ciborium::from_reader::<Command, _>(&data[..]) {
+                        Ok(command) => inner.agreed.apply(entry.index, &command),
+                        Err(e) => Verdict::Invalid(e.to_string()),
+                    };
+                    news |= verdict == Verdict::Taken;
+                    if let Some((term, waiting)) = waiting
+                        && term == entry.term
+                    {
+                        let _ = waiting.send(verdict);
+                    }
+                }
+                Payload::Members(_) => news = true,
+                Payload::Empty => {}
+            }
+        }
+        for (token, index) in out.reads {
+            if let Some(waiting) = inner.reads.remove(&token) {
+                let _ = waiting.send(index);
+            }
+        }
+        if inner.core.log_len() > COMPACT {
+            let mut data = Vec::new();
+            let kept = Kept { agreed: inner.agreed.clone() };
+            let written = ciborium::into_writer(&kept, &mut data).is_ok();
+            let applied = inner.applied;
+            if let Some(snapshot) = inner.core.compact(applied, data).filter(|_| written) {
+                let _ = self.disk.send(Order::Compact(snapshot));
+            }
+        }
+        let members: Vec<SocketAddr> =
+            inner.core.members().all().filter_map(|(_, at)| at.parse().ok()).collect();
+        for at in members {
+            self.meet_in(inner, at, None);
+        }
+        news
+    }
+
+    /// Waits until all that was acknowledged before this call is applied here; whether it came to that.
+    pub async fn catch_up(&self, within: Duration) -> bool {
+        let until = Instant::now() + within;
+        loop {
+            let (tell, told) = oneshot::channel();
+            let token = {
+                let mut inner = self.inner.borrow_mut();
+                inner.next_read += 1;
+                let token = inner.next_read;
+                inner.reads.insert(token, tell);
+                token
+            };
+            self.with_core(|core| core.read(token));
+            // A leader that was just lost does not answer: ask whoever leads next.
+            let patience = Duration::from_millis(ELECTION);
+            let index = timeout(patience.min(until - Instant::now()), told).await;
+            self.inner.borrow_mut().reads.remove(&token);
+            if let Ok(Ok(Some(index))) = index {
+                let mut changes = self.changes();
+                while self.inner.borrow().applied < index {
+                    if timeout(TICK, changes.changed()).await.is_err() && Instant::now() >= until {
+                        return false;
+                    }
+                }
+                return true;
+            }
+            if Instant::now() + TICK >= until {
+                return false;
+            }
+            sleep(TICK).await;
+        }
+    }
+
+    /// An order, through the log.
+    pub async fn order(&self, command: &Command, within: Duration) -> Result<Verdict, Unclear> {
+        let until = Instant::now() + within;
+        if !self.leads() {
+            return Err(Unclear::NotLeader(self.leader()));
+        }
+        // A leader that was cut off must not turn an order away on what it last knew.
+        if !self.catch_up(within).await {
+            return Err(Unclear::NoMajority);
+        }
+        let verdict = self.inner.borrow().agreed.check(command);
+        if verdict != Verdict::Taken {
+            return Ok(verdict);
+        }
+        let mut data = Vec::new();
+        ciborium::into_writer(command, &mut data).map_err(|_| Unclear::NoMajority)?;
+        let Some(index) = self.with_core(|core| core.propose(data)) else {
+            return Err(Unclear::NotLeader(self.leader()));
+        };
+        let (tell, told) = oneshot::channel();
+        {
+            let mut inner = self.inner.borrow_mut();
+            if inner.applied >= index {
+                // Alone, and already applied: what it led to is asked again.
+                return Ok(Verdict::AlreadyTaken);
+            }
+            let term = inner.core.status().term;
+            inner.orders.insert(index, (term, tell));
+        }
+        match timeout(until.saturating_duration_since(Instant::now()), told).await {
+            Ok(Ok(verdict)) => Ok(verdict),
+            _ => Err(Unclear::NoMajority),
+        }
+    }
+
+    pub fn leads(&self) -> bool {
+        self.inner.borrow().core.status().role == Role::Leader
+    }
+
+    /// Where the leader talks to others, if it is known.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        let inner = self.inner.borrow();
+        let leader = inner.core.status().leader?;
+        let at = inner.core.members().all().find(|(id, _)| *id == leader)?.1;
+        at.parse().ok()
+    }
+
+    pub fn agreed(&self) -> Agreed {
+        self.inner.borrow().agreed.clone()
+    }
+
+    /// What the log's member knows, for who asks how things stand.
+    pub fn status(&self) -> (agreement::Status, Members) {
+        let inner = self.inner.borrow();
+        (inner.core.status(), inner.core.members().clone())
+    }
+
+    /// Asks to take part in the log, until it does.
+    fn join(&self) {
+        let voter = self.with_core(|core| {
+            let voter = core.members().voters.contains_key(&core.status().id);
+            if !voter {
+                core.join(self.id, self.me.inner.to_string());
+            }
+            voter
+        });
+        if !voter {
+            self.tell_all(&Tell::Join { id: self.id, inner: self.me.inner });
+        }
+    }
+
+    // ------------------------------------------------------------------ peers
+
+    /// Another control balancer that may be there.
+    pub fn meet(&self, at: SocketAddr, control: Option<Control>) {
+        let mut inner = self.inner.borrow_mut();
+        self.meet_in(&mut inner, at, control);
+    }
+
+    fn meet_in(&self, inner: &mut Inner, at: SocketAddr, control: Option<Control>) {
+        if at == self.me.inner {
+            return;
+        }
+        let peer = inner.peers.entry(at).or_insert_with(|| {
+            let (to, queue) = mpsc::channel(PEER_QUEUE);
+            let _ = self.dial.send((at, queue));
+            Peer { at: None, to, heard: None, sessions: Vec::new() }
+        });
+        if control.is_some() {
+            peer.at = control;
+        }
+    }
+
+    /// A control balancer has called.
+    pub fn called(&self, id: NodeId, control: Control) {
+        let mut inner = self.inner.borrow_mut();
+        inner.ids.insert(id, control.inner);
+        self.meet_in(&mut inner, control.inner, Some(control));
+    }
+
+    /// A control balancer has said something.
+    pub fn told(&self, from: SocketAddr, tell: Tell) {
+        if let Some(peer) = self.inner.borrow_mut().peers.get_mut(&from) {
+            peer.heard = Some(Instant::now());
+        }
+        match tell {
+            Tell::Log(message) => self.with_core(|core| core.receive(message)),
+            Tell::Join { id, inner } => self.with_core(|core| core.join(id, inner.to_string())),
+            Tell::Sessions { sessions, controls } => {
+                let mut news = false;
+                let mut inner = self.inner.borrow_mut();
+                for control in controls {
+                    self.meet_in(&mut inner, control.inner, None);
+                }
+                if let Some(peer) = inner.peers.get_mut(&from) {
+                    news = peer.sessions != sessions;
+                    peer.sessions = sessions;
+                }
+                drop(inner);
+                if news {
+                    self.changed();
+                }
+            }
+            Tell::Zone { zone, version, upstreams } => self.zone(&zone, version, upstreams),
+        }
+    }
+
+    fn tell_all(&self, tell: &Tell) {
+        for peer in self.inner.borrow().peers.values() {
+            let _ = peer.to.try_send(tell.clone());
+        }
+    }
+
+    fn tell_sessions(&self) {
+        let tell = {
+            let inner = self.inner.borrow();
+            let sessions = inner.local.values().map(|(_, s)| s.clone()).collect();
+            let now = Instant::now();
+            let live = inner.peers.values().filter(|p| p.live(now));
+            let controls = live.filter_map(|p| p.at.clone()).collect();
+            Tell::Sessions { sessions, controls }
+        };
+        self.tell_all(&tell);
+    }
+
+    fn forget_lapsed(&self) {
+        let now = Instant::now();
+        let mut news = false;
+        for peer in self.inner.borrow_mut().peers.values_mut() {
+            if !peer.live(now) && !peer.sessions.is_empty() {
+                peer.sessions.clear();
+                news = true;
+            }
+        }
+        if news {
+            self.changed();
+        }
+    }
+
+    /// Control balancers that are there, this one included.
+    pub fn controls(&self) -> Vec<Control> {
+        let (inner, now) = (self.inner.borrow(), Instant::now());
+        let live = inner.peers.values().filter(|p| p.live(now));
+        let mut all: Vec<Control> = live.filter_map(|p| p.at.clone()).collect();
+        all.push(self.me.clone());
+        all.sort();
+        all
+    }
+
+    // --------------------------------------------------------------- sessions
+
+    /// A session opens, or says something new; `None` for the first time. Returns its mark.
+    pub fn session(&self, mark: Option<u64>, session: Session) -> u64 {
+        let mark = mark.unwrap_or_else(|| {
+            self.next_session.set(self.next_session.get() + 1);
+            self.next_session.get()
+        });
+        let node = session.balancer.node.clone();
+        let before = self.inner.borrow_mut().local.insert(node, (mark, session.clone()));
+        if before.is_none_or(|(_, s)| s != session) {
+            self.tell_sessions();
+            self.changed();
+        }
+        mark
+    }
+
+    /// A session has ended; another of the same balancer may stand already.
+    pub fn session_over(&self, mark: u64, node: &str) {
+        let mut inner = self.inner.borrow_mut();
+        if inner.local.get(node).is_some_and(|(m, _)| *m == mark) {
+            inner.local.remove(node);
+            drop(inner);
+            self.tell_sessions();
+            self.changed();
+        }
+    }
+
+    /// All sessions that stand, with whichever control balancer.
+    pub fn members(&self) -> Vec<Session> {
+        let inner = self.inner.borrow();
+        let mut all: BTreeMap<&str, Session> = BTreeMap::new();
+        let local = inner.local.values().map(|(_, s)| s);
+        for s in inner.peers.values().flat_map(|p| &p.sessions).chain(local) {
+            let known = all.entry(&s.balancer.node).or_insert_with(|| s.clone());
+            known.ready |= s.ready;
+            known.leaving |= s.leaving;
+        }
+        all.into_values().collect()
+    }
+
+    fn bank(&self, node: &str) -> Bank {
+        let members = self.members();
+        let position = members.iter().position(|s| s.balancer.node == node).unwrap_or(0);
+        Bank { balancers: members.len().max(1) as u32, position: position as u32 }
+    }
+
+    // ------------------------------------------------------------------ zones
+
+    /// The zones that this balancer's cell keeps: its own, and those whose own control balancers are not
+    /// there and to which it is next.
+    pub fn kept_zones(&self) -> Vec<String> {
+        let controls = self.controls();
+        let map = &self.settings.zone_map;
+        let keeps = |zone: &&String| {
+            let region = map.get(*zone);
+            let far = |c: &Control| (c.zone != **zone, Some(&c.region) != region);
+            controls.iter().min_by_key(|c| (far(c), c.inner)).is_some_and(|c| *c == self.me)
+        };
+        map.keys().filter(keeps).cloned().collect()
+    }
+
+    /// A zone's list has come from the platform.
+    pub fn listed(&self, zone: &str, upstreams: Vec<Upstream>) {
+        let known = self.inner.borrow().zones.get(zone).cloned();
+        // An upstream's cold spell is told once; that it gets shorter is no news.
+        let same = known.as_ref().is_some_and(|z| {
+            let cooled = z.at.elapsed().as_millis() as u64;
+            z.upstreams.len() == upstreams.len()
+                && z.upstreams.iter().zip(&upstreams).all(|(a, b)| {
+                    let left = a.warm_left_ms.saturating_sub(cooled);
+                    let warm_left_ms = b.warm_left_ms;
+                    left + 500 >= warm_left_ms && Upstream { warm_left_ms, ..a.clone() } == *b
+                })
+        });
+        if same {
+            return;
+        }
+        // Above what any cell told before it, also one whose clock is a little ahead.
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        let unix = unix.unwrap_or_default().as_millis() as u64;
+        let version = known.map_or(0, |z| z.version + 1).max(unix);
+        let upstreams = Arc::new(upstreams);
+        let tell = Tell::Zone { zone: zone.into(), version, upstreams: upstreams.clone() };
+        self.zone(zone, version, upstreams);
+        self.tell_all(&tell);
+    }
+
+    /// The zones as they stand, for a peer that has just been reached.
+    pub fn zones(&self) -> Vec<Tell> {
+        let inner = self.inner.borrow();
+        let tell = |(zone, z): (&String, &Zone)| Tell::Zone {
+            zone: zone.clone(),
+            version: z.version,
+            upstreams: z.upstreams.clone(),
+        };
+        inner.zones.iter().map(tell).collect()
+    }
+
+    fn zone(&self, zone: &str, version: u64, upstreams: Arc<Vec<Upstream>>) {
+        let mut inner = self.inner.borrow_mut();
+        if inner.zones.get(zone).is_none_or(|z| z.version < version) {
+            inner.zones.insert(zone.into(), Zone { version, upstreams, at: Instant::now() });
+            drop(inner);
+            self.changed();
+        }
+    }
+
+    // ------------------------------------------------------------------- news
+
+    /// What a balancer that has this does not have yet; what it is told counts as had from then on.
+    pub fn news(&self, node: &str, has: &mut messages::wire::Ask) -> Option<News> {
+        let bank = self.bank(node);
+        let controls = self.controls();
+        let inner = self.inner.borrow();
+        let mut news = News::default();
+        let agreed = &inner.agreed;
+        if agreed.config_index > has.config {
+            has.config = agreed.config_index;
+            news.config = Some((agreed.config_index, agreed.config.clone()));
+        }
+        if agreed.evacuated_index > has.evacuated {
+            has.evacuated = agreed.evacuated_index;
+            let zones = agreed.evacuated.iter().cloned().collect();
+            news.evacuated = Some((agreed.evacuated_index, zones));
+        }
+        for (zone, z) in &inner.zones {
+            if has.zones.get(zone).is_none_or(|v| *v < z.version) {
+                has.zones.insert(zone.clone(), z.version);
+                news.zones.insert(zone.clone(), (z.version, z.upstreams.clone()));
+            }
+        }
+        if has.bank != Some(bank) {
+            has.bank = Some(bank);
+            news.bank = Some(bank);
+        }
+        if has.controls != controls {
+            has.controls.clone_from(&controls);
+            news.controls = Some(controls);
+        }
+        (news != News::default()).then_some(news)
+    }
+}
+
+impl Peer {
+    fn live(&self, now: Instant) -> bool {
+        self.heard.is_some_and(|at| now < at + LAPSE)
+    }
+}
--- /dev/null
+++ b/crates/control-plane/src/configuration.rs
@@ -0,0 +1,376 @@
+//! The rules of the configuration: what is valid, what builds on what, what was taken already. Every control
+//! balancer applies the same commands in the same order and comes to the same verdicts.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use messages::config::Config;
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+use sha2::{Digest, Sha256};
+
+/// Orders sent again are known for so many versions back: more than any operator has under way.
+const REMEMBERED: usize = 1024;
+
+/// An order, as it stands in the log.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    /// A whole configuration on top of version `base`, as it was sent.
+    Replace {
+        base: u64,
+        body: String,
+    },
+    /// Named items of it.
+    Amend {
+        base: u64,
+        body: String,
+    },
+    /// A zone's upstreams get nothing more; or may again.
+    Evacuate {
+        zone: String,
+    },
+    Return {
+        zone: String,
+    },
+}
+
+/// What becomes of an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Taken,
+    /// The very same was taken before.
+    AlreadyTaken,
+    /// Another version is current.
+    Stale {
+        current: u64,
+    },
+    /// It makes no sense, and why.
+    Invalid(String),
+}
+
+/// What is agreed on.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Agreed {
+    /// The current version, 0 for none, and where in the log it was taken.
+    pub rev: u64,
+    pub config_index: u64,
+    /// The configuration as JSON.
+    pub config: Arc<str>,
+    pub evacuated: BTreeSet<String>,
+    pub evacuated_index: u64,
+    /// Digests of the orders that were taken, by the version they led to.
+    taken: BTreeMap<u64, [u8; 32]>,
+}
+
+impl Agreed {
+    /// What would become of the command now.
+    pub fn check(&self, command: &Command) -> Verdict {
+        match self.outcome(command) {
+            Ok(Some(_)) => Verdict::Taken,
+            Ok(None) => Verdict::AlreadyTaken,
+            Err(verdict) => verdict,
+        }
+    }
+
+    /// Applies the command, which stands at this place of the log.
+    pub fn apply(&mut self, index: u64, command: &Command) -> Verdict {
+        match command {
+            Command::Evacuate { zone } => {
+                self.evacuated_index = index;
+                self.evacuated.insert(zone.clone());
+                Verdict::Taken
+            }
+            Command::Return { zone } => {
+                self.evacuated_index = index;
+                self.evacuated.remove(zone);
+                Verdict::Taken
+            }
+            Command::Replace { .. } | Command::Amend { .. } => match self.outcome(command) {
+                Ok(Some((rev, config))) => {
+                    (self.rev, self.config, self.config_index) = (rev, config.into(), index);
+                    self.taken.insert(rev, digest(command));
+                    while self.taken.len() > REMEMBERED {
+                        self.taken.pop_first();
+                    }
+                    Verdict::Taken
+                }
+                Ok(None) => Verdict::AlreadyTaken,
+                Err(verdict) => verdict,
+            },
+        }
+    }
+
+    /// The version and configuration that an order leads to; `None` if it did already.
+    fn outcome(&self, command: &Command) -> Result<Option<(u64, String)>, Verdict> {
+        let (base, body) = match command {
+            Command::Replace { base, body } | Command::Amend { base, body } => (*base, body),
+            Command::Evacuate { .. } | Command::Return { .. } => {
+                return Ok(Some((self.rev, String::new())));
+            }
+        };
+        let invalid = |why: String| Verdict::Invalid(why);
+        let sent: Value =
+            serde_json::from_str(body).map_err(|e| invalid(format!("not JSON: {e}")))?;
+        let rev = sent.get("rev").and_then(Value::as_u64);
+        let rev = rev.ok_or_else(|| invalid("`rev`: expected a whole number".into()))?;
+        if self.taken.get(&rev) == Some(&digest(command)) {
+            return Ok(None);
+        }
+        let whole = match command {
+            Command::Amend { .. } => amended(&self.config, sent).map_err(invalid)?,
+            _ => sent,
+        };
+        validate(&whole).map_err(invalid)?;
+        if base != self.rev {
+            return Err(Verdict::Stale { current: self.rev });
+        }
+        if rev <= self.rev {
+            return Err(invalid(format!("`rev`: {rev} is not above the current {}", self.rev)));
+        }
+        Ok(Some((rev, whole.to_string())))
+    }
+}
+
+fn digest(command: &Command) -> [u8; 32] {
+    let (kind, base, body) = match command {
+        Command::Replace { base, body } => (0u8, *base, body.as_str()),
+        Command::Amend { base, body } => (1, *base, body.as_str()),
+        Command::Evacuate { zone } => (2, 0, zone.as_str()),
+        Command::Return { zone } => (3, 0, zone.as_str()),
+    };
+    let mut hasher = Sha256::new();
+    hasher.update([kind]);
+    hasher.update(base.to_be_bytes());
+    hasher.update(body);
+    hasher.finalize().into()
+}
+
+/// The current configuration with items added, replaced by name and removed.
+fn amended(current: &str, change: Value) -> Result<Value, String> {
+    let mut whole: Map<String, Value> = if current.is_empty() {
+        Map::new()
+    } else {
+        serde_json::from_str(current).map_err(|e| format!("the current configuration: {e}"))?
+    };
+    let Value::Object(mut change) = change else { return Err("expected an object".into()) };
+    let rev = change.remove("rev").unwrap_or_default();
+    let mut part = |name: &str| match change.remove(name) {
+        None => Ok(Map::new()),
+        Some(Value::Object(lists)) => Ok(lists),
+        Some(_) => Err(format!("`{name}`: expected an object")),
+    };
+    let (remove, upsert) = (part("remove")?, part("upsert")?);
+    if let Some(other) = change.keys().next() {
+        return Err(format!("`{other}`: expected `rev`, `upsert` or `remove`"));
+    }
+    for (list, names) in remove {
+        let at = format!("`remove.{list}`");
+        let Value::Array(names) = names else { return Err(format!("{at}: expected a list")) };
+        let items = items(&mut whole, &list, &at)?;
+        items.retain(|item| !names.iter().any(|n| item.get("name") == Some(n)));
+    }
+    for (list, new) in upsert {
+        let at = format!("`upsert.{list}`");
+        if list == "limits" {
+            whole.insert(list, new);
+            continue;
+        }
+        let Value::Array(new) = new else { return Err(format!("{at}: expected a list")) };
+        let items = items(&mut whole, &list, &at)?;
+        for item in new {
+            let name = item.get("name").filter(|n| n.is_string());
+            let name = name.ok_or_else(|| format!("{at}: an item without a `name`"))?;
+            match items.iter_mut().find(|i| i.get("name") == Some(name)) {
+                Some(known) => *known = item,
+                None => items.push(item),
+            }
+        }
+    }
+    whole.insert("rev".into(), rev);
+    Ok(Value::Object(whole))
+}
+
+fn items<'a>(
+    whole: &'a mut Map<String, Value>,
+    list: &str,
+    at: &str,
+) -> Result<&'a mut Vec<Value>, String> {
+    if list != "routes" && list != "services" {
+        return Err(format!("{at}: expected `routes` or `services`"));
+    }
+    let entry = whole.entry(list).or_insert_with(|| Value::Array(Vec::new()));
+    entry.as_array_mut().ok_or_else(|| format!("{at}: not a list in the current configuration"))
+}
+
+/// Whether a whole configuration makes sense; the error names what does not.
+pub fn validate(whole: &Value) -> Result<Config, String> {
+    let config = Config::deserialize(whole).map_err(|e| e.to_string())?;
+    let mut services = BTreeSet::new();
+    for s in &config.services {
+        if !services.insert(s.name.as_str()) {
+            return Err(format!("service `{}` stands twice", s.name));
+        }
+        let paced = s.warmup_s.is_finite() && s.warmup_per_s.is_finite();
+        if !paced || s.warmup_s < 0.0 || s.warmup_per_s < 0.0 {
+            return Err(format!(
+                "service `{}`: `warmup_s` and `warmup_per_s` are 0 or more",
+                s.name
+            ));
+        }
+    }
+    let (mut names, mut places) = (BTreeSet::new(), BTreeSet::new());
+    for r in &config.routes {
+        let wrong = |what: &str| Err(format!("route `{}`: {what}", r.name));
+        if !names.insert(r.name.as_str()) {
+            return wrong("stands twice");
+        }
+        let host = r.host.to_ascii_lowercase();
+        if !places.insert((host, r.path_prefix.as_str())) {
+            return wrong("another route has its host and prefix");
+        }
+        if !r.path_prefix.starts_with('/') || !r.path_prefix.ends_with('/') {
+            return wrong("`path_prefix` begins and ends with a slash");
+        }
+        if r.host.is_empty() {
+            return wrong("`host` is empty");
+        }
+        if r.deadline_ms == 0 {
+            return wrong("`deadline_ms` is 0");
+        }
+        if r.target_ms == 0 {
+            return wrong("`target_ms` is 0");
+        }
+        if r.tries == 0 {
+            return wrong("`tries` is 0");
+        }
+        if r.svc.is_some() == r.split.is_some() {
+            return wrong("expected either `svc` or `split`");
+        }
+        let parts = r.parts();
+        if parts.iter().map(|(_, weight)| u64::from(*weight)).sum::<u64>() == 0 {
+            return wrong("its weights add up to 0");
+        }
+        if let Some((unknown, _)) = parts.iter().find(|(s, _)| !services.contains(s)) {
+            return wrong(&format!("names the unknown service `{unknown}`"));
+        }
+    }
+    Ok(config)
+}
+
+#[cfg(test)]
+mod tests {
+    use serde_json::json;
+
+    use super::*;
+
+    fn route(name: &str, service: &str) -> Value {
+        json!({"name": name, "host": "h", "path_prefix": format!("/{name}/"), "type": "mutating",
+            "deadline_ms": 100, "target_ms": 10, "svc": service, "tries": 2, "of_later": [1]})
+    }
+
+    fn whole(rev: u64, routes: Vec<Value>) -> Value {
+        json!({"rev": rev, "routes": routes, "services": [{"name": "s"}, {"name": "t"}]})
+    }
+
+    fn replace(base: u64, body: &Value) -> Command {
+        Command::Replace { base, body: body.to_string() }
+    }
+
+    fn first() -> Agreed {
+        let mut agreed = Agreed::default();
+        let body = whole(5, vec![route("a", "s")]);
+        assert_eq!(agreed.apply(1, &replace(0, &body)), Verdict::Taken);
+        agreed
+    }
+
+    #[test]
+    fn a_version_is_taken_once_and_acknowledged_as_often_as_it_is_sent() {
+        let mut agreed = first();
+        let body = whole(5, vec![route("a", "s")]);
+        assert_eq!(agreed.apply(2, &replace(0, &body)), Verdict::AlreadyTaken);
+        let next = whole(9, vec![route("a", "t")]);
+        assert_eq!(agreed.apply(3, &replace(5, &next)), Verdict::Taken);
+        assert_eq!((agreed.rev, agreed.config_index), (9, 3));
+        // The first one, sent again late, was taken; it does not come back into force.
+        assert_eq!(agreed.apply(4, &replace(0, &body)), Verdict::AlreadyTaken);
+        assert_eq!(agreed.rev, 9);
+        assert!(agreed.config.contains("of_later"), "what is not known is kept");
+    }
+
+    #[test]
+    fn of_two_changes_on_one_base_one_wins() {
+        let mut agreed = first();
+        let (one, other) = (whole(7, vec![route("a", "t")]), whole(7, vec![route("b", "t")]));
+        assert_eq!(agreed.apply(2, &replace(5, &one)), Verdict::Taken);
+        assert_eq!(agreed.apply(3, &replace(5, &other)), Verdict::Stale { current: 7 });
+        let amend = Command::Amend { base: 5, body: json!({"rev": 8}).to_string() };
+        assert_eq!(agreed.apply(4, &amend), Verdict::Stale { current: 7 });
+    }
+
+    #[test]
+    fn named_items_are_added_replaced_and_removed() {
+        let mut agreed = first();
+        let change = json!({"rev": 6, "upsert": {"routes": [route("a", "t"), route("b", "s")]},
+            "remove": {"routes": ["never-was"]}});
+        let amend = |base, body: &Value| Command::Amend { base, body: body.to_string() };
+        assert_eq!(agreed.apply(2, &amend(5, &change)), Verdict::Taken);
+        let config: Value = serde_json::from_str(&agreed.config).expect("JSON");
+        assert_eq!(config["rev"], 6);
+        assert_eq!(config["routes"][0]["svc"], "t");
+        assert_eq!(config["routes"].as_array().map(Vec::len), Some(2));
+        let change = json!({"rev": 8, "remove": {"routes": ["a"]}});
+        assert_eq!(agreed.apply(3, &amend(6, &change)), Verdict::Taken);
+        assert_eq!(agreed.apply(4, &amend(6, &change)), Verdict::AlreadyTaken);
+        let config: Value = serde_json::from_str(&agreed.config).expect("JSON");
+        assert_eq!(config["routes"].as_array().map(Vec::len), Some(1));
+        // A service that a route still names can't go.
+        let change = json!({"rev": 9, "remove": {"services": ["s"]}});
+        assert!(matches!(agreed.check(&amend(8, &change)), Verdict::Invalid(_)));
+    }
+
+    #[test]
+    fn what_makes_no_sense_is_invalid_and_changes_nothing() {
+        let with = |change: &dyn Fn(&mut Value)| {
+            let mut body = whole(7, vec![route("a", "s"), route("b", "s")]);
+            change(&mut body);
+            body.to_string()
+        };
+        let bodies = [
+            with(&|b| b["routes"][0]["svc"] = json!("unknown")),
+            with(&|b| b["routes"][1]["path_prefix"] = json!("/a/")),
+            with(&|b| b["routes"][1]["name"] = json!("a")),
+            with(&|b| b["routes"][0]["deadline_ms"] = json!(0)),
+            with(&|b| b["routes"][0]["deadline_ms"] = json!("100")),
+            with(&|b| b["routes"][0]["svc"] = Value::Null),
+            with(&|b| b["routes"][0]["split"] = json!([{"svc": "s", "weight": 1}])),
+            with(&|b| {
+                b["routes"][0]["svc"] = Value::Null;
+                b["routes"][0]["split"] =
+                    json!([{"svc": "s", "weight": 0}, {"svc": "t", "weight": 0}]);
+            }),
+            with(&|b| b["services"][1]["name"] = json!("s")),
+            with(&|b| b["rev"] = json!(5)),
+            with(&|b| b["rev"] = json!(-1)),
+            with(&|_| {}).replace("]}", "]"),
+            "[]".to_string(),
+            String::new(),
+        ];
+        for body in bodies {
+            let mut agreed = first();
+            let before = agreed.clone();
+            let verdict = agreed.apply(2, &Command::Replace { base: 5, body: body.clone() });
+            assert!(matches!(verdict, Verdict::Invalid(_)), "{verdict:?}: {body}");
+            assert_eq!(agreed, before);
+        }
+    }
+
+    #[test]
+    fn zones_are_evacuated_and_taken_back() {
+        let mut agreed = first();
+        agreed.apply(2, &Command::Evacuate { zone: "a".into() });
+        agreed.apply(3, &Command::Evacuate { zone: "b".into() });
+        agreed.apply(4, &Command::Return { zone: "a".into() });
+        assert_eq!(agreed.evacuated.iter().collect::<Vec<_>>(), ["b"]);
+        assert_eq!((agreed.evacuated_index, agreed.config_index), (4, 1));
+    }
+}
--- /dev/null
+++ b/crates/control-plane/src/lib.rs
@@ -0,0 +1,21 @@
+//! The control plane: a control balancer in each zone. It keeps its zone's upstreams and sessions (its cell),
+//! agrees with the others on the configuration and the evacuations, and tells the data plane what is new.
+//!
+//! - [`configuration`]: the rules of what is taken, applied in the order of the log; no I/O.
+//! - [`store`]: what is on disk, in one `redb` file, written by a thread of its own.
+//! - [`cell`]: what a control balancer knows: the log, sessions, zones; it tells whoever waits for news.
+//! - [`peers`]: connections between control balancers, and the sessions of the data plane.
+//! - [`platform`]: the list of upstreams, asked for by the one cell that keeps a zone.
+//! - [`interface`]: what operators and clients ask: configurations, drains, the directory.
+//!
+//! **Promises.** What was acknowledged is on the disks of a majority. **Neighbours down.** Without a majority
+//! orders get 503, and the data plane goes on with what it has; a silent cell's zone is kept by another.
+#![forbid(unsafe_code)]
+
+pub mod cell;
+pub mod configuration;
+pub mod interface;
+pub mod peers;
+pub mod platform;
+pub mod run;
+pub mod store;
--- a/src/bin/hollowpaddle/connections.rs
+++ b/crates/data-plane/src/connections.rs
@@ -14,11 +14,15 @@
 
 use crate::stream::Traffic;
 
-/// A head must be whole this long after its connection came up, or after its first byte on a kept one. With
-/// a body's own limit it stays under the 3 s within which whoever sends no whole request is owed a word.
-const HEAD: Duration = Duration::from_millis(2000);
-/// A kept connection is closed once it has idled for so long.
-const IDLE: Duration = Duration::from_secs(4);
+/// How long a client may take and stay idle.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// A head must be whole so long after its connection came up, or after its first byte on a kept one.
+    pub head: Duration,
+    /// A kept connection is closed once it has idled for so long.
+    pub idle: Duration,
+}
+
 /// One that served a client within this time stays, as long as they are not many.
 const KEPT: Duration = Duration::from_secs(2);
 /// One that says nothing for this long does not come with a request: those send it right away.
@@ -26,6 +30,7 @@
 
 /// What is known of one connection.
 pub struct Connection {
+    times: Rc<Cell<Times>>,
     traffic: Traffic,
     state: Cell<State>,
     evicted: Notify,
@@ -62,15 +67,15 @@
     /// When it has to go, as things stand.
     fn limit(&self) -> Option<Instant> {
         match self.state.get() {
-            State::New { since } => Some(since + HEAD),
+            State::New { since } => Some(since + self.times.get().head),
             State::Asked | State::Closing { .. } | State::Evicted => None,
             State::Kept { since, read, next } => {
                 if self.traffic.read() == read {
-                    return Some(since + IDLE);
+                    return Some(since + self.times.get().idle);
                 }
                 let next = next.unwrap_or_else(Instant::now);
                 self.state.set(State::Kept { since, read, next: Some(next) });
-                Some(next + HEAD)
+                Some(next + self.times.get().head)
             }
         }
     }
@@ -140,6 +145,7 @@
     most: usize,
     /// Of those in use, no more than so many while some of them idle.
     at_ease: usize,
+    times: Rc<Cell<Times>>,
 }
 
 /// A connection's place among them, for as long as it is held.
@@ -176,14 +182,24 @@
 }
 
 impl Connections {
-    pub fn new(most: usize, at_ease: usize) -> Rc<Self> {
-        Rc::new(Self { open: RefCell::default(), next: Cell::new(0), most, at_ease })
+    pub fn new(most: usize, at_ease: usize, times: Times) -> Rc<Self> {
+        let times = Rc::new(Cell::new(times));
+        Rc::new(Self { open: RefCell::default(), next: Cell::new(0), most, at_ease, times })
+    }
+
+    /// From now on clients have these times, those that are connected too.
+    pub fn allow(&self, times: Times) {
+        self.times.set(times);
     }
 
     pub fn len(&self) -> usize {
         self.open.borrow().len()
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     pub fn full(&self) -> bool {
         self.len() >= self.most
     }
@@ -191,7 +207,12 @@
     pub fn seat(self: &Rc<Self>, traffic: Traffic) -> Seat {
         let id = self.next.replace(self.next.get() + 1);
         let state = Cell::new(State::New { since: Instant::now() });
-        let connection = Rc::new(Connection { traffic, state, evicted: Notify::new() });
+        let connection = Rc::new(Connection {
+            times: self.times.clone(),
+            traffic,
+            state,
+            evicted: Notify::new(),
+        });
         self.open.borrow_mut().insert(id, connection.clone());
         Seat { connection, all: self.clone(), id }
     }
@@ -214,13 +235,15 @@
 
     use super::*;
 
+    const TIMES: Times = Times { head: Duration::from_millis(2000), idle: Duration::from_secs(4) };
+
     async fn gone(seat: &Seat) -> bool {
         timeout(Duration::ZERO, seat.connection.evicted()).await.is_ok()
     }
 
     #[tokio::test(start_paused = true)]
     async fn the_one_that_has_idled_longest_gives_way_and_none_with_an_open_request() {
-        let all = Connections::new(3, 3);
+        let all = Connections::new(3, 3, TIMES);
         let seats: Vec<Seat> = (0..3).map(|_| all.seat(Traffic::default())).collect();
         assert!(all.full());
         seats[0].connection.asked();
@@ -236,7 +259,7 @@
 
     #[tokio::test(start_paused = true)]
     async fn of_many_that_are_kept_the_longest_idle_go_and_the_rest_stays() {
-        let all = Connections::new(100, 4);
+        let all = Connections::new(100, 4, TIMES);
         let mut seats = Vec::new();
         for _ in 0..10 {
             let seat = all.seat(Traffic::default());
@@ -252,7 +275,7 @@
 
     #[tokio::test(start_paused = true)]
     async fn a_request_that_crosses_with_the_word_to_go_is_served() {
-        let all = Connections::new(1, 1);
+        let all = Connections::new(1, 1, TIMES);
         let seat = all.seat(Traffic::default());
         seat.answered();
         advance(KEPT).await;
--- a/src/bin/hollowpaddle/engine.rs
+++ b/crates/data-plane/src/engine.rs
@@ -1,5 +1,6 @@
-//! Owns the decision module, the table of requests and the timers. Feeds the module every event in the
-//! order it came, and carries out its actions in the order it gave them. Decides nothing.
+//! Owns the decision modules, one for each service, the table of requests and the timers. Feeds a module
+//! every event in the order it came, and carries out its actions in the order it gave them. Decides nothing,
+//! and does not know who brings the lists and the settings.
 
 use std::cell::Cell;
 use std::cmp::Reverse;
@@ -9,33 +10,44 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use hollowpaddle::interface as d;
-use hollowpaddle::interface::{Action, Event, ListKind, Outcome, RequestId, ServerId, Span, Time};
-use hollowpaddle::policy::Balancer;
-use hollowpaddle::settings::stable_hash;
+use decisions::interface as d;
+use decisions::interface::{Action, Event, ListKind, Outcome, RequestId, ServerId, Span, Time};
+use decisions::policy::Balancer;
+use decisions::settings::stable_hash;
 use hyper::Response;
+use hyper::header::HeaderValue;
 use rustc_hash::FxHashMap;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
-use crate::config::Config;
-use crate::discovery::{self, Entry, List, Phase};
 use crate::upstreams::{AbortOnDrop, Ended, Forward, Pool, Target};
 
-/// The module works to this much less than the client's deadline, so that an answer at the deadline still
-/// arrives: the way to the client, and a busy moment here.
-const HEADROOM: Duration = Duration::from_millis(15);
-/// At this much less the engine answers itself, should the module still owe one.
+/// At this much less than the client's deadline the engine answers itself, should a module still owe it.
 const BACKSTOP: Duration = Duration::from_millis(5);
-/// Sends to an upstream that drains end this much before the grace does.
-const DRAIN_MARGIN: Duration = Duration::from_millis(100);
-/// Wait before a pushed list is watched again; the agent is on this machine and answers at no cost.
-const REWATCH: Duration = Duration::from_millis(500);
+/// An upstream as whoever lists it knows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Upstream {
+    /// Who it is, in this life.
+    pub id: String,
+    /// Where it is; without a valid address the last one stands.
+    pub address: Option<SocketAddr>,
+    pub zone: u32,
+    pub kind: u32,
+    pub cell: u32,
+    pub status: d::Status,
+    /// Relative size.
+    pub weight: f64,
+    /// Requests it runs side by side; 0 where nobody tells.
+    pub slots: u32,
+    /// When it last started, if not long ago.
+    pub started: Option<SystemTime>,
+}
 
 /// What the engine is told.
 pub enum Note {
     Arrived {
         id: RequestId,
+        service: usize,
         arrival: Arrival,
         forward: Forward,
         reply: oneshot::Sender<Reply>,
@@ -46,15 +58,17 @@
         attempt: usize,
         ended: Ended,
     },
-    Listed {
-        serial: u64,
-        list: List,
+    /// A service has these settings from now on; the next one after the last is new.
+    Settings {
+        service: usize,
+        settings: Box<d::Settings>,
     },
-    WatchEnded {
-        serial: u64,
+    /// The list of a service's upstreams, or a change to it.
+    Members {
+        service: usize,
+        kind: ListKind,
+        list: Vec<Upstream>,
     },
-    /// Discovery is at this address from now on.
-    Moved(SocketAddr),
 }
 
 /// A request as the module needs to know it.
@@ -88,17 +102,22 @@
         self.ready.get()
     }
 
-    /// Tells the engine where discovery is now.
-    pub fn reloader(&self) -> impl Fn(SocketAddr) + use<> {
+    /// Tells the engine something.
+    pub fn tell(&self, note: Note) {
+        let _ = self.notes.send(note);
+    }
+
+    /// Another handle, for whoever brings the lists.
+    pub fn teller(&self) -> impl Fn(Note) + use<> {
         let notes = self.notes.clone();
-        move |discovery| drop(notes.send(Note::Moved(discovery)))
+        move |note| drop(notes.send(note))
     }
 
     /// Hands in a request and waits for its answer. Dropped before that, it tells that the client left.
-    pub async fn ask(&self, arrival: Arrival, forward: Forward) -> Reply {
+    pub async fn ask(&self, service: usize, arrival: Arrival, forward: Forward) -> Reply {
         let id = RequestId(self.next.replace(self.next.get() + 1));
         let (reply, answer) = oneshot::channel();
-        let _ = self.notes.send(Note::Arrived { id, arrival, forward, reply });
+        let _ = self.notes.send(Note::Arrived { id, service, arrival, forward, reply });
         let mut leaving = Leaving { id, notes: Some(&self.notes) };
         let answer = answer.await;
         leaving.notes = None;
@@ -122,6 +141,7 @@
 
 /// A request that is owed an answer, or has attempts out.
 struct Held {
+    service: usize,
     forward: Rc<Forward>,
     /// Taken by the final answer.
     reply: Option<oneshot::Sender<Reply>>,
@@ -130,6 +150,8 @@
     until: Instant,
     attempts: Vec<Try>,
     last: Option<Outcome>,
+    /// An upstream's own error, the answer if there is no better one.
+    error: Option<Response<Bytes>>,
 }
 
 struct Try {
@@ -147,16 +169,39 @@
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
-    Token(u64),
+    Token(usize, u64),
     Deadline(RequestId),
-    Watch,
 }
 
 /// An event of the engine's own making, told once the present actions are carried out.
 type Later = (RequestId, usize, Ended);
 
-pub struct Engine {
+/// One service: its module and its upstreams.
+struct Service {
     balancer: Balancer,
+    upstreams: Upstreams,
+    second_copies: bool,
+    max_attempts: usize,
+}
+
+/// What an engine is told at its start.
+pub struct Terms {
+    /// For the modules' random numbers.
+    pub seed: u64,
+    /// The modules work to this much less than the client's deadline, so that an answer at the deadline
+    /// still arrives: the way to the client, and a busy moment here.
+    pub headroom: Duration,
+    /// How long after the news that an upstream drains a request may still go out to it.
+    pub drain_grace: Duration,
+    /// Timers fire on multiples of this, so that those of many services fire together.
+    pub grid: Duration,
+    /// Where a module's wish to subscribe to the list goes.
+    pub subscribe: Option<mpsc::UnboundedSender<()>>,
+}
+
+pub struct Engine {
+    terms: Terms,
+    services: Vec<Service>,
     clock: Clock,
     notes: mpsc::UnboundedReceiver<Note>,
     own_notes: mpsc::UnboundedSender<Note>,
@@ -165,15 +210,10 @@
     actions: Vec<Action>,
     later: VecDeque<Later>,
     pool: Rc<Pool>,
-    upstreams: Upstreams,
+    /// A handle of an upstream is never used twice, or news of one that is gone would be taken for
+    /// another's.
+    next_upstream: u32,
     ready: Rc<Cell<bool>>,
-    discovery: SocketAddr,
-    revision: u64,
-    watch: Option<AbortOnDrop>,
-    watch_serial: u64,
-    must_ask: bool,
-    second_copies: bool,
-    max_attempts: usize,
 }
 
 /// The module's clock: monotonic, and set once to Unix time so that the list's times need no further
@@ -195,24 +235,30 @@
     fn at(&self, instant: Instant) -> Time {
         Time(self.unix_us + instant.saturating_duration_since(self.start).as_micros() as i64)
     }
+    fn of(&self, time: SystemTime) -> Time {
+        let unix = time.duration_since(UNIX_EPOCH).unwrap_or_default();
+        Time(unix.as_micros() as i64)
+    }
+    /// The first point of the grid that is not before `time`.
+    fn on_grid(&self, time: Time, grid: Duration) -> Instant {
+        let grid = grid.as_micros().max(1) as i64;
+        let passed = time.0 - self.unix_us;
+        self.instant(Time(self.unix_us + (passed + grid - 1).div_euclid(grid) * grid))
+    }
     fn instant(&self, time: Time) -> Instant {
         self.start + Duration::from_micros((time.0 - self.unix_us).max(0) as u64)
     }
 }
 
 impl Engine {
-    pub fn new(config: &Config, pool: Rc<Pool>) -> Result<(Self, Handle), d::SettingsError> {
-        let clock = Clock::new();
-        let settings = config.facts.settings();
+    pub fn new(terms: Terms, pool: Rc<Pool>) -> (Self, Handle) {
         let (own_notes, notes) = mpsc::unbounded_channel();
         let ready = Rc::new(Cell::new(false));
         let handle = Handle { notes: own_notes.clone(), next: Cell::new(0), ready: ready.clone() };
-        let (must_ask, second_copies) = (settings.must_ask, settings.limits.second_copies);
-        let grace = Duration::from_micros(settings.rules.drain_grace.0.max(0) as u64);
-        let max_attempts = settings.limits.max_attempts;
-        let mut engine = Self {
-            balancer: Balancer::new(settings, config.seed, clock.now())?,
-            clock,
+        let engine = Self {
+            terms,
+            services: Vec::new(),
+            clock: Clock::new(),
             notes,
             own_notes,
             requests: FxHashMap::default(),
@@ -220,21 +266,29 @@
             actions: Vec::new(),
             later: VecDeque::new(),
             pool,
-            upstreams: Upstreams::new(config, grace.saturating_sub(DRAIN_MARGIN)),
+            next_upstream: 0,
             ready,
-            discovery: config.discovery,
-            revision: 0,
-            watch: None,
-            watch_serial: 0,
-            must_ask,
-            second_copies,
-            max_attempts,
         };
-        engine.listed(&config.known, ListKind::Restored);
-        if !must_ask {
-            engine.subscribe();
+        (engine, handle)
+    }
+
+    /// Takes over a service's settings; a service that is the next one is new.
+    pub fn settings(
+        &mut self,
+        service: usize,
+        settings: d::Settings,
+    ) -> Result<(), d::SettingsError> {
+        let (second_copies, max_attempts) =
+            (settings.limits.second_copies, settings.limits.max_attempts);
+        if let Some(known) = self.services.get_mut(service) {
+            (known.second_copies, known.max_attempts) = (second_copies, max_attempts);
+            return known.balancer.reconfigure(settings);
         }
-        Ok((engine, handle))
+        let seed = self.terms.seed.wrapping_add(service as u64);
+        let balancer = Balancer::new(settings, seed, self.clock.now())?;
+        let upstreams = Upstreams::new(self.terms.drain_grace);
+        self.services.push(Service { balancer, upstreams, second_copies, max_attempts });
+        Ok(())
     }
 
     pub async fn run(mut self) {
@@ -265,23 +319,23 @@
             }
             self.timers.pop();
             match due {
-                Due::Token(token) => self.tell(Event::Timer(token)),
+                Due::Token(service, token) => self.tell(service, Event::Timer(token)),
                 Due::Deadline(id) => self.overdue(id),
-                Due::Watch => self.subscribe(),
             }
         }
     }
 
     fn take(&mut self, note: Note) {
         match note {
-            Note::Arrived { id, arrival, forward, reply } => {
-                self.arrived(id, arrival, forward, reply);
+            Note::Arrived { id, service, arrival, forward, reply } => {
+                self.arrived(id, service, arrival, forward, reply);
             }
             Note::Left(id) => {
                 let Some(held) = self.requests.get_mut(&id) else { return };
                 if held.reply.take().is_some() {
                     held.live.set(false);
-                    self.tell(Event::Left(id));
+                    let service = held.service;
+                    self.tell(service, Event::Left(id));
                 }
                 self.forget(id);
             }
@@ -289,41 +343,33 @@
                 self.ended(id, attempt, ended);
                 self.catch_up();
             }
-            Note::Listed { serial, list } => {
-                if serial == self.watch_serial {
-                    let whole = list.complete;
-                    self.listed(&list, if whole { ListKind::Whole } else { ListKind::Update });
-                }
-            }
-            Note::Moved(discovery) => self.moved(discovery),
-            Note::WatchEnded { serial } => {
-                if serial == self.watch_serial {
-                    self.watch = None;
-                    if self.must_ask {
-                        self.tell(Event::Members { kind: ListKind::Unavailable, list: &[] });
-                    } else {
-                        self.timers.push(Reverse((Instant::now() + REWATCH, Due::Watch)));
-                    }
+            Note::Settings { service, settings } => {
+                if let Err(cause) = self.settings(service, *settings) {
+                    tracing::error!(%cause, service, "settings that can't be used");
                 }
             }
+            Note::Members { service, kind, list } => self.listed(service, kind, &list),
         }
     }
 
     fn arrived(
         &mut self,
         id: RequestId,
+        service: usize,
         arrival: Arrival,
         forward: Forward,
         reply: oneshot::Sender<Reply>,
     ) {
-        let until = arrival.until - HEADROOM;
+        let until = arrival.until - self.terms.headroom;
         let held = Held {
+            service,
             forward: Rc::new(forward),
             reply: Some(reply),
             live: Rc::new(Cell::new(true)),
             until,
             attempts: Vec::new(),
             last: None,
+            error: None,
         };
         self.requests.insert(id, held);
         self.timers.push(Reverse((arrival.until - BACKSTOP, Due::Deadline(id))));
@@ -335,14 +381,16 @@
             resent: arrival.resent,
             ..d::Request::new(id, arrival.class, self.clock.at(until))
         };
-        self.tell(Event::Request(request));
+        self.tell(service, Event::Request(request));
     }
 
     /// Guards against a request that the module still owes its answer when the client is about to give up.
     fn overdue(&mut self, id: RequestId) {
         if self.answer(id, Reply::Failed { late: true }) {
             tracing::warn!("answered at the deadline");
-            self.tell(Event::Left(id));
+            if let Some(service) = self.requests.get(&id).map(|h| h.service) {
+                self.tell(service, Event::Left(id));
+            }
         }
         self.forget(id);
     }
@@ -362,9 +410,13 @@
         tried.task = None;
         let (server, latency) = (tried.server, tried.sent.elapsed());
         held.last = Some(ended.outcome);
+        let service = held.service;
         // The first whole answer is the client's; one that comes after the end is dropped.
-        if let Some(response) = ended.response {
-            self.answer(id, Reply::Served(response));
+        match ended.response {
+            Some(response) if ended.outcome == Outcome::Ok => {
+                self.answer(id, Reply::Served(response));
+            }
+            error => held.error = error,
         }
         let over = self.requests.get(&id).is_none_or(|h| h.reply.is_none());
         let answer = d::Answer {
@@ -378,7 +430,7 @@
                 over,
             )
         };
-        self.handle(Event::Answered(answer));
+        self.handle(service, Event::Answered(answer));
         self.forget(id);
     }
 
@@ -389,43 +441,20 @@
         }
     }
 
-    fn listed(&mut self, list: &List, kind: ListKind) {
-        self.revision = list.revision;
-        let members = self.upstreams.update(list, kind, &self.pool);
-        self.ready.set(self.upstreams.any_open());
-        self.tell(Event::Members { kind, list: &members });
-        self.upstreams.forget(&self.pool);
-    }
-
-    /// Follows discovery to another address; upstreams, connections and all that was learned stay.
-    fn moved(&mut self, discovery: SocketAddr) {
-        if self.discovery == discovery {
-            tracing::info!("the configuration names the same discovery");
-            return;
-        }
-        tracing::info!(%discovery, "discovery moved");
-        self.discovery = discovery;
-        // Another agent counts in its own way: asked for what follows our revision, it could keep silent
-        // about all that it has. From 0 on it tells everything.
-        self.revision = 0;
-        self.subscribe();
-    }
-
-    fn subscribe(&mut self) {
-        self.watch_serial += 1;
-        let watch = discovery::watch(
-            self.discovery,
-            self.revision,
-            self.must_ask,
-            self.watch_serial,
-            self.own_notes.clone(),
-        );
-        self.watch = Some(AbortOnDrop(tokio::task::spawn_local(watch)));
+    /// Takes in a list and tells the module.
+    pub fn listed(&mut self, service: usize, kind: ListKind, list: &[Upstream]) {
+        let Some(known) = self.services.get_mut(service) else { return };
+        let clock = self.clock;
+        let members =
+            known.upstreams.update(list, kind, &self.pool, &mut self.next_upstream, clock);
+        self.ready.set(self.services.iter().any(|s| s.upstreams.any_open()));
+        self.tell(service, Event::Members { kind, list: &members });
+        self.services[service].upstreams.forget(&self.pool);
     }
 
     /// Tells the module, and carries out what it says until nothing is left to tell.
-    fn tell(&mut self, event: Event) {
-        self.handle(event);
+    fn tell(&mut self, service: usize, event: Event) {
+        self.handle(service, event);
         self.catch_up();
     }
 
@@ -435,26 +464,33 @@
         }
     }
 
-    fn handle(&mut self, event: Event) {
-        self.balancer.handle(self.clock.now(), event, &mut self.actions);
+    fn handle(&mut self, service: usize, event: Event) {
         let mut actions = std::mem::take(&mut self.actions);
+        if let Some(known) = self.services.get_mut(service) {
+            known.balancer.handle(self.clock.now(), event, &mut actions);
+        }
         for action in actions.drain(..) {
-            self.carry_out(action);
+            self.carry_out(service, action);
         }
         self.actions = actions;
     }
 
-    fn carry_out(&mut self, action: Action) {
+    /// The final answer of a request that no upstream served: an upstream's own error, if there was one.
+    fn give_up(&mut self, id: RequestId, reply: Reply) {
+        let error = self.requests.get_mut(&id).and_then(|h| h.error.take());
+        self.answer(id, error.map_or(reply, Reply::Served));
+        self.forget(id);
+    }
+
+    fn carry_out(&mut self, service: usize, action: Action) {
         match action {
             Action::Send { request, server, timeout } => self.send(request, server, timeout),
             Action::Refuse { request, retry_after } => {
-                self.answer(request, Reply::Refused { retry_after });
-                self.forget(request);
+                self.give_up(request, Reply::Refused { retry_after });
             }
             Action::Fail { request } => {
                 let last = self.requests.get(&request).and_then(|h| h.last);
-                self.answer(request, Reply::Failed { late: last == Some(Outcome::Timeout) });
-                self.forget(request);
+                self.give_up(request, Reply::Failed { late: last == Some(Outcome::Timeout) });
             }
             Action::Cancel { request, attempt } => {
                 let held = self.requests.get_mut(&request);
@@ -464,10 +500,15 @@
                 }
             }
             Action::Arm { token, at } => {
-                self.timers.push(Reverse((self.clock.instant(at), Due::Token(token))));
+                let at = self.clock.on_grid(at, self.terms.grid);
+                self.timers.push(Reverse((at, Due::Token(service, token))));
             }
             Action::CloseIdle { server } => self.pool.close_idle(server),
-            Action::Subscribe => self.subscribe(),
+            Action::Subscribe => {
+                if let Some(subscribe) = &self.terms.subscribe {
+                    let _ = subscribe.send(());
+                }
+            }
             // Upstreams here take no probes, and the module sends none where that is so.
             Action::Probe { .. } => {}
         }
@@ -479,10 +520,11 @@
         let allowed =
             if allow.0 > 0 { now + Duration::from_micros(allow.0 as u64) } else { held.until };
         let until = allowed.min(held.until);
-        let twice = held.out() > 0 && !self.second_copies;
-        let target = self.upstreams.target(server);
+        let Some(service) = self.services.get(held.service) else { return };
+        let twice = held.out() > 0 && !service.second_copies;
+        let target = service.upstreams.target(server);
         let mut tried = Try { server, sent: now, task: None };
-        let over = held.reply.is_none() || attempt >= self.max_attempts || now >= until;
+        let over = held.reply.is_none() || attempt >= service.max_attempts || now >= until;
         let (Some(target), false) = (target, over || twice) else {
             held.attempts.push(tried);
             self.later.push_back((id, attempt, Ended::bare(Outcome::Moot)));
@@ -503,10 +545,6 @@
 struct Upstreams {
     ids: FxHashMap<String, ServerId>,
     targets: FxHashMap<ServerId, Known>,
-    /// A handle is never used twice, or news of one that is gone would be taken for another's.
-    next: u32,
-    zones: Vec<String>,
-    kinds: Vec<String>,
     grace: Duration,
 }
 
@@ -516,15 +554,8 @@
 }
 
 impl Upstreams {
-    fn new(config: &Config, grace: Duration) -> Self {
-        Self {
-            ids: FxHashMap::default(),
-            targets: FxHashMap::default(),
-            next: 0,
-            zones: config.facts.zones.clone(),
-            kinds: config.facts.machine_types.clone(),
-            grace,
-        }
+    fn new(grace: Duration) -> Self {
+        Self { ids: FxHashMap::default(), targets: FxHashMap::default(), grace }
     }
 
     fn target(&self, server: ServerId) -> Option<Rc<Target>> {
@@ -536,7 +567,14 @@
     }
 
     /// Takes in a list and puts it into the module's words.
-    fn update(&mut self, list: &List, kind: ListKind, pool: &Pool) -> Vec<d::Member> {
+    fn update(
+        &mut self,
+        list: &[Upstream],
+        kind: ListKind,
+        pool: &Pool,
+        next: &mut u32,
+        clock: Clock,
+    ) -> Vec<d::Member> {
         let closed_from = Instant::now() + self.grace;
         let close = |t: &Target| t.closed_from.set(t.closed_from.get().or(Some(closed_from)));
         if kind != ListKind::Update {
@@ -545,29 +583,39 @@
                 known.gone = true;
             }
         }
-        let mut members = Vec::with_capacity(list.members.len());
-        for entry in &list.members {
-            if entry.phase == Phase::Deleted && !self.ids.contains_key(&entry.id) {
+        let mut members = Vec::with_capacity(list.len());
+        for entry in list {
+            if entry.status == d::Status::Gone && !self.ids.contains_key(&entry.id) {
                 continue;
             }
             // Without a valid address the last one stands: that it drains must not be lost with it.
             let known = self.ids.get(&entry.id).and_then(|id| self.targets.get(id));
             let known = known.map(|k| k.target.address.get());
-            let Some(address) = entry.host_port.parse().ok().or(known) else {
-                tracing::warn!(id = entry.id, address = entry.host_port, "no such address");
+            let Some(address) = entry.address.or(known) else {
+                tracing::warn!(id = entry.id, "no valid address");
                 continue;
             };
-            let id = self.id(entry, address);
+            let id = self.id(entry, address, next);
             let Some(known) = self.targets.get_mut(&id) else { continue };
             if known.target.address.replace(address) != address {
                 pool.close_idle(id);
             }
-            known.gone = entry.phase == Phase::Deleted;
-            match entry.phase {
-                Phase::Serving => known.target.closed_from.set(None),
-                Phase::Draining | Phase::Deleted | Phase::Unknown => close(&known.target),
+            known.gone = entry.status == d::Status::Gone;
+            match entry.status {
+                d::Status::Live => known.target.closed_from.set(None),
+                d::Status::Draining | d::Status::Gone => close(&known.target),
             }
-            members.push(self.member(id, entry));
+            members.push(d::Member {
+                id,
+                identity: stable_hash(&entry.id),
+                zone: entry.zone,
+                kind: entry.kind,
+                cell: entry.cell,
+                status: entry.status,
+                weight: entry.weight,
+                slots: entry.slots,
+                started: entry.started.map(|at| clock.of(at)),
+            });
         }
         self.targets.values().filter(|k| k.gone).for_each(|k| close(&k.target));
         members
@@ -585,100 +633,97 @@
         self.ids.retain(|_, id| self.targets.contains_key(id));
     }
 
-    fn id(&mut self, entry: &Entry, address: SocketAddr) -> ServerId {
+    fn id(&mut self, entry: &Upstream, address: SocketAddr, next: &mut u32) -> ServerId {
         if let Some(id) = self.ids.get(&entry.id) {
             return *id;
         }
-        let id = ServerId(self.next);
-        self.next += 1;
+        let id = ServerId(*next);
+        *next += 1;
         self.ids.insert(entry.id.clone(), id);
         let (address, closed_from) = (Cell::new(address), Cell::new(None));
-        let target = Rc::new(Target { address, closed_from });
+        let name = HeaderValue::from_str(&entry.id).ok();
+        let target = Rc::new(Target { address, name, closed_from });
         self.targets.insert(id, Known { target, gone: false });
         id
     }
-
-    fn member(&self, id: ServerId, entry: &Entry) -> d::Member {
-        // A name that the settings don't have is none of those that they do.
-        let index = |names: &[String], name: &str| {
-            names.iter().position(|n| n == name).unwrap_or(names.len()) as u32
-        };
-        d::Member {
-            id,
-            identity: stable_hash(&entry.id),
-            zone: index(&self.zones, &entry.locality),
-            kind: index(&self.kinds, &entry.flavor),
-            cell: entry.cell,
-            status: match entry.phase {
-                Phase::Serving => d::Status::Live,
-                Phase::Draining | Phase::Unknown => d::Status::Draining,
-                Phase::Deleted => d::Status::Gone,
-            },
-            weight: entry.size,
-            started: (entry.up_since_ms > 0.0).then_some(Time((entry.up_since_ms * 1000.0) as i64)),
-        }
-    }
 }
 
 #[cfg(test)]
 mod tests {
+    use hyper::StatusCode;
+    use hyper::header::HeaderName;
+
     use super::*;
-    use serde_json::json;
-
-    fn config() -> Config {
-        let facts = json!({"Balancers": 1, "Tick": 1.0, "RegistryMode": "subscribe", "Services": [],
-            "PolicyLimits": {"MaxAttempts": 3},
-            "Safety": {"Cold": 0.0, "ColdFrom": 1.0, "FallMultiple": 1.0, "TipAfter": 0.0}});
-        let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
-        Config {
-            name: String::new(),
-            listen: nowhere,
-            discovery: nowhere,
-            seed: 0,
-            sockets: 256,
-            memory: 32 << 20,
-            known: List::default(),
-            facts: serde_json::from_value(facts).expect("facts"),
+    use crate::upstreams::{Dialect, Load, Terms};
+
+    fn pool() -> Rc<Pool> {
+        Pool::new(Terms {
+            most: 1,
+            keepalive: Duration::from_secs(5),
+            connect_timeout: Duration::from_millis(250),
+            user_timeout: None,
+            answers: 1 << 20,
+            dialect: Dialect {
+                deadline: HeaderName::from_static("x-deadline-ms"),
+                target: None,
+                not_run: HeaderName::from_static("x-not-run"),
+                refusals: &[],
+                served: |s| s == StatusCode::OK,
+                passes_errors: false,
+                load: Load::Named(Vec::new()),
+            },
+        })
+    }
+
+    fn upstream(id: &str, status: d::Status) -> Upstream {
+        Upstream {
+            id: id.to_string(),
+            address: Some(SocketAddr::from(([127, 0, 0, 1], 1))),
+            zone: 0,
+            kind: 0,
+            cell: 0,
+            status,
+            weight: 1.0,
+            slots: 0,
+            started: None,
         }
     }
 
     #[tokio::test]
     async fn upstreams_come_and_go_and_no_handle_is_used_twice() {
-        let config = config();
-        let pool = tokio::task::LocalSet::new().run_until(async { Pool::new(1, &config) }).await;
-        let mut upstreams = Upstreams::new(&config, Duration::from_millis(400));
-        let mut told = |id: String, phase: &str, kind| {
-            let list = json!({"members": [{"id": id, "host_port": "127.0.0.1:1", "phase": phase}]});
-            let list = serde_json::from_value(list).expect("a list");
-            let members = upstreams.update(&list, kind, &pool);
+        let pool = tokio::task::LocalSet::new().run_until(async { pool() }).await;
+        let mut upstreams = Upstreams::new(Duration::from_millis(400));
+        let (mut next, clock) = (0, Clock::new());
+        let mut told = |id: &str, status, kind| {
+            let list = [upstream(id, status)];
+            let members = upstreams.update(&list, kind, &pool, &mut next, clock);
             upstreams.forget(&pool);
             (members.first().map(|m| m.id), upstreams.ids.len(), upstreams.targets.len())
         };
         let mut seen = std::collections::HashSet::new();
         for i in 0..2000 {
             // New ids at one address, gone by word or by being left out.
-            let (id, ids, targets) = told(format!("s-{i}"), "SERVING", ListKind::Whole);
+            let name = format!("s-{i}");
+            let (id, ids, targets) = told(&name, d::Status::Live, ListKind::Whole);
             assert_eq!((ids, targets), (1, 1));
             assert!(seen.insert(id.expect("a member")), "a handle is used again");
             if i % 2 == 0 {
-                let (_, ids, targets) = told(format!("s-{i}"), "DELETED", ListKind::Update);
+                let (_, ids, targets) = told(&name, d::Status::Gone, ListKind::Update);
                 assert_eq!((ids, targets), (0, 0));
             }
         }
-        assert_eq!(told("never-seen".to_string(), "DELETED", ListKind::Update).0, None);
+        assert_eq!(told("never-seen", d::Status::Gone, ListKind::Update).0, None);
     }
 
     #[tokio::test]
     async fn what_an_attempt_still_looks_at_is_kept_and_stays_closed() {
-        let config = config();
-        let pool = tokio::task::LocalSet::new().run_until(async { Pool::new(1, &config) }).await;
-        let mut upstreams = Upstreams::new(&config, Duration::from_millis(400));
-        let list =
-            json!({"members": [{"id": "a", "host_port": "127.0.0.1:1", "phase": "SERVING"}]});
-        let list = serde_json::from_value(list).expect("a list");
-        let id = upstreams.update(&list, ListKind::Whole, &pool)[0].id;
+        let pool = tokio::task::LocalSet::new().run_until(async { pool() }).await;
+        let mut upstreams = Upstreams::new(Duration::from_millis(400));
+        let (mut next, clock) = (0, Clock::new());
+        let list = [upstream("a", d::Status::Live)];
+        let id = upstreams.update(&list, ListKind::Whole, &pool, &mut next, clock)[0].id;
         let out = upstreams.target(id).expect("known");
-        upstreams.update(&List::default(), ListKind::Whole, &pool);
+        upstreams.update(&[], ListKind::Whole, &pool, &mut next, clock);
         upstreams.forget(&pool);
         assert!(out.closed_from.get().is_some() && upstreams.target(id).is_some());
         drop(out);
--- /dev/null
+++ b/crates/data-plane/src/front.rs
@@ -0,0 +1,209 @@
+//! The side that faces clients: an HTTP server that reads requests, hands them to its gate, and answers each
+//! once. It bounds how many connections there are and how long they may take, and ends in order.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::{Future, poll_fn};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, ReadBuf};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::connections::{Connections, Seat, Times};
+use crate::heads::{Answer, HEAD_LINES};
+use crate::stream::{Shared, Tapped};
+
+/// After the last deadline, time for the answers to be written.
+const FINISH: Duration = Duration::from_millis(100);
+/// Wait after a failed accept, so that a full descriptor table does not become a busy loop.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+/// What a client still sends behind its last answer is read for so long, and up to so much.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = 4 << 20;
+/// The smallest buffer that the HTTP library takes.
+const LEAST_BUFFER: usize = 8 << 10;
+
+/// What a front is told to hold to.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// The most connections.
+    pub most: usize,
+    /// So many in use leave room for more; beyond, idle ones are closed.
+    pub at_ease: usize,
+    /// A head may have so many bytes.
+    pub head: usize,
+    /// How long clients may take.
+    pub times: Times,
+    /// How long connections are still accepted after the word to stop: clients need a moment to hear of it.
+    pub linger: Duration,
+    /// How long what is open after that may take.
+    pub finish: Duration,
+}
+
+/// What answers the requests of a front.
+pub trait Gate: 'static {
+    /// The one answer to a request that arrived then.
+    fn answer(
+        &self,
+        request: Request<Incoming>,
+        arrived: Instant,
+        stopping: bool,
+    ) -> impl Future<Output = Answer>;
+}
+
+/// A server with its gate.
+pub struct Front<G> {
+    gate: Rc<G>,
+    connections: Rc<Connections>,
+    bounds: Cell<Bounds>,
+    stopping: Cell<bool>,
+}
+
+impl<G: Gate> Front<G> {
+    pub fn new(gate: Rc<G>, bounds: Bounds) -> Rc<Self> {
+        Rc::new(Self {
+            gate,
+            connections: Connections::new(bounds.most, bounds.at_ease, bounds.times),
+            bounds: Cell::new(bounds),
+            stopping: Cell::new(false),
+        })
+    }
+
+    /// Holds to other limits on heads and times from now on.
+    pub fn limit(&self, head: usize, times: Times) {
+        self.bounds.set(Bounds { head, times, ..self.bounds.get() });
+        self.connections.allow(times);
+    }
+
+    /// Serves until `stop`, then finishes what was taken.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
+        let (close, closing) = watch::channel(false);
+        {
+            let accepting = self.accept(&listener, &closing);
+            tokio::pin!(accepting);
+            tokio::select! {
+                () = &mut accepting => {}
+                () = stop => {}
+            }
+            tracing::info!("stopping");
+            // From here each answer asks its client to go elsewhere; new connections still find us.
+            self.stopping.set(true);
+            let _ = timeout(self.bounds.get().linger, accepting).await;
+        }
+        drop(listener);
+        let _ = close.send(true);
+        let finished = async {
+            while !self.connections.is_empty() {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        // Counted from the last accept, not from the signal: what came last has its whole deadline.
+        let _ = timeout(self.bounds.get().finish + FINISH, finished).await;
+    }
+
+    async fn accept(self: &Rc<Self>, listener: &TcpListener, closing: &watch::Receiver<bool>) {
+        loop {
+            // Left in the backlog, a client waits a moment; without a descriptor it would be dropped.
+            if self.connections.full() {
+                self.connections.evict();
+                sleep(Duration::from_millis(1)).await;
+                continue;
+            }
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nodelay(true);
+                    let (io, stream, traffic) = Tapped::new(stream);
+                    // It has its place before the next one is accepted.
+                    let seat = self.connections.seat(traffic);
+                    let conversation = self.clone().converse(io, stream, seat, closing.clone());
+                    tokio::task::spawn_local(conversation);
+                }
+                // Guards against EMFILE and aborted connections: neither is a reason to end.
+                Err(cause) => {
+                    tracing::warn!(%cause, "accept");
+                    sleep(ACCEPT_BACKOFF).await;
+                }
+            }
+        }
+    }
+
+    /// All requests of one connection.
+    async fn converse(
+        self: Rc<Self>,
+        io: Tapped,
+        stream: Shared,
+        seat: Seat,
+        mut closing: watch::Receiver<bool>,
+    ) {
+        let known = &*seat.connection;
+        let service = service_fn(|request| self.respond(request, &seat));
+        let ended = {
+            let connection = http1::Builder::new()
+                .header_read_timeout(None) // Each connection's own limits hold.
+                .max_buf_size(self.bounds.get().head.max(LEAST_BUFFER))
+                .max_headers(HEAD_LINES)
+                .serve_connection(TokioIo::new(io), service);
+            tokio::pin!(connection);
+            let mut stopping = false;
+            loop {
+                // The connection first: its limits are judged by what has passed on it.
+                tokio::select! {
+                    biased;
+                    _ = &mut connection => break true,
+                    () = known.outstays() => break false,
+                    _ = closing.wait_for(|c| *c), if !stopping => {
+                        connection.as_mut().graceful_shutdown();
+                        stopping = true;
+                    }
+                }
+            }
+        };
+        if ended {
+            known.closing();
+            tokio::select! {
+                _ = timeout(LINGER_TIME, read_out(&stream)) => {}
+                () = known.evicted() => {}
+            }
+        }
+    }
+
+    async fn respond(&self, request: Request<Incoming>, seat: &Seat) -> Result<Answer, Infallible> {
+        let arrived = Instant::now();
+        seat.connection.asked();
+        let mut answer = self.gate.answer(request, arrived, self.stopping.get()).await;
+        // From the word to stop on, each answer asks its client to go elsewhere.
+        if self.stopping.get() {
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        seat.answered();
+        Ok(answer)
+    }
+}
+
+/// Reads what still comes until the client closes too. Failure: closed with something unread, the kernel
+/// resets the connection, and the answer may be lost on its way.
+async fn read_out(stream: &Shared) {
+    let mut scrap = vec![0; LEAST_BUFFER];
+    let mut left = LINGER_BYTES;
+    while left > 0 {
+        let read = poll_fn(|cx| {
+            let mut buf = ReadBuf::new(&mut scrap);
+            let read = Pin::new(&mut *stream.borrow_mut()).poll_read(cx, &mut buf);
+            read.map_ok(|()| buf.filled().len())
+        });
+        match read.await {
+            Ok(0) | Err(_) => return,
+            Ok(n) => left = left.saturating_sub(n),
+        }
+    }
+}
--- /dev/null
+++ b/crates/data-plane/src/node.rs
@@ -0,0 +1,190 @@
+//! A data-plane balancer as a process: puts the parts together, and ends in order.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::HeaderName;
+use hyper::{Request, StatusCode};
+use messages::config::Limits;
+use messages::settings::Settings;
+use messages::wire::Balancer;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::connections::Times;
+use crate::engine::{self, Engine};
+use crate::front::{Bounds, Front, Gate};
+use crate::heads::{Answer, bare};
+use crate::routes::Routes;
+use crate::upstreams::{Dialect, Load, Pool, Terms};
+use crate::watch::Watch;
+
+/// Descriptors that are neither a client's nor an upstream's.
+const RESERVED: usize = 264;
+/// The modules work to this much less than the client's deadline, so that an answer at the deadline still
+/// arrives: the way to the client, and a busy moment here.
+const HEADROOM: Duration = Duration::from_millis(30);
+/// Timers fire on multiples of this, so that those of many services fire together.
+const GRID: Duration = Duration::from_millis(25);
+/// An upstream that does not say how long it keeps idle connections keeps them for so long at least.
+const KEEPALIVE: Duration = Duration::from_secs(8);
+/// A connection that is not up by then failed: several round trips between regions.
+const CONNECT: Duration = Duration::from_millis(400);
+/// Sent bytes that nobody acknowledged for so long are lost.
+const USER_TIMEOUT: Duration = Duration::from_millis(3000);
+/// Answers that are read, or not yet written to their clients, may take this part of the memory together.
+const ANSWERS_OF_MEMORY: usize = 4;
+/// The platform's checks are few.
+const CHECKS: usize = 16;
+/// This part of the time from SIGTERM to the end goes to new connections: clients need it to hear of it.
+const LINGER_OF_GRACE: f64 = 0.5;
+/// And this much is left at the end.
+const SPARE: Duration = Duration::from_millis(500);
+
+/// What upstreams say, in the words of this protocol.
+fn dialect() -> Dialect {
+    Dialect {
+        deadline: HeaderName::from_static("deadline-ms"),
+        target: Some(HeaderName::from_static("target-instance")),
+        not_run: HeaderName::from_static("not-run"),
+        refusals: &[
+            StatusCode::SERVICE_UNAVAILABLE,
+            StatusCode::TOO_MANY_REQUESTS,
+            StatusCode::BAD_REQUEST,
+        ],
+        // Whatever else an upstream says is its answer; these would be promises that it did not make.
+        served: |status| !status.is_server_error() && !promises(status),
+        passes_errors: true,
+        load: Load::Slots(HeaderName::from_static("upstream-load")),
+    }
+}
+
+/// Statuses by which a client takes it that its request has not run and never will.
+fn promises(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
+/// Answers the platform's checks.
+struct Readiness {
+    routes: Rc<Routes>,
+}
+
+impl Gate for Readiness {
+    async fn answer(&self, request: Request<Incoming>, _: Instant, _: bool) -> Answer {
+        if request.uri().path() != "/-/ready" {
+            return bare(StatusCode::NOT_FOUND);
+        }
+        let ready = self.routes.ready();
+        bare(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+    }
+}
+
+fn times(limits: &Limits) -> Times {
+    Times {
+        head: Duration::from_millis(limits.header_timeout_ms.max(1)),
+        idle: Duration::from_millis(limits.idle_timeout_ms.max(1)),
+    }
+}
+
+/// Serves until `stop`, then finishes what was taken.
+pub async fn run(
+    settings: Settings,
+    mut reloads: mpsc::UnboundedReceiver<Settings>,
+    stop: impl Future<Output = ()>,
+) -> Result<(), String> {
+    let http = settings.listen.http.ok_or("`listen.http` is not set")?;
+    let bind = async |what: &str, at: SocketAddr| {
+        TcpListener::bind(at).await.map_err(|e| format!("{what} on {at}: {e}"))
+    };
+    let listener = bind("http", http).await?;
+    let checks = match settings.listen.readiness {
+        Some(at) => Some(bind("readiness", at).await?),
+        None => None,
+    };
+    let half = settings.limits.max_fds.saturating_sub(RESERVED).max(32) / 2;
+    let pool = Pool::new(Terms {
+        most: half,
+        keepalive: KEEPALIVE,
+        connect_timeout: CONNECT,
+        user_timeout: Some(USER_TIMEOUT),
+        answers: (settings.limits.mem_mb << 20) / ANSWERS_OF_MEMORY,
+        dialect: dialect(),
+    });
+    let terms = engine::Terms {
+        seed: decisions::settings::stable_hash(&settings.node),
+        headroom: HEADROOM,
+        drain_grace: Duration::ZERO,
+        grid: GRID,
+        subscribe: None,
+    };
+    let (engine, handle) = Engine::new(terms, pool);
+    let engine = tokio::task::spawn_local(engine.run());
+    let limits = Limits::default();
+    let grace = settings.grace();
+    let linger = grace.mul_f64(LINGER_OF_GRACE);
+    let bounds = Bounds {
+        most: half,
+        at_ease: half / 2,
+        head: limits.max_header_bytes,
+        times: times(&limits),
+        linger,
+        finish: grace.saturating_sub(linger).saturating_sub(SPARE),
+    };
+    // The routes hold the front to the configuration's limits, and the front asks the routes.
+    let slot: Rc<RefCell<Weak<Front<Routes>>>> = Rc::default();
+    let limited = slot.clone();
+    let routes = Routes::new(
+        &settings,
+        handle,
+        Box::new(move |limits| {
+            if let Some(front) = limited.borrow().upgrade() {
+                front.limit(limits.max_header_bytes, times(limits));
+            }
+        }),
+    );
+    let clients = Front::new(routes.clone(), bounds);
+    *slot.borrow_mut() = Rc::downgrade(&clients);
+    if let Some(checks) = checks {
+        let gate = Rc::new(Readiness { routes: routes.clone() });
+        let bounds = Bounds { most: CHECKS, at_ease: CHECKS, ..bounds };
+        tokio::task::spawn_local(Front::new(gate, bounds).serve(checks, std::future::pending()));
+    }
+    let me = Balancer {
+        node: settings.node.clone(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        http,
+    };
+    let inner = |settings: &Settings| -> Vec<SocketAddr> {
+        settings.seeds.iter().map(|s| settings.inner_of(*s)).collect()
+    };
+    let watch = Watch::new(me, routes.clone(), &inner(&settings));
+    tokio::task::spawn_local(watch.clone().run());
+    tokio::task::spawn_local(async move {
+        while let Some(settings) = reloads.recv().await {
+            watch.seeds(&inner(&settings));
+        }
+    });
+    tracing::info!(node = settings.node, %http, "data plane");
+    let leaves = routes.clone();
+    let serve = clients.serve(listener, async move {
+        stop.await;
+        leaves.leave();
+    });
+    tokio::select! {
+        () = serve => Ok(()),
+        // Without it nothing is ever answered well again; a restart is better.
+        _ = engine => Err("the engine ended".to_string()),
+    }
+}
--- /dev/null
+++ b/crates/data-plane/src/routes.rs
@@ -0,0 +1,465 @@
+//! What a request is: the route by host and longest prefix, its service and class; and the answer it gets.
+//! Holds what the control plane told last, and tells the engine of it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+
+use decisions::interface::{self as d, ListKind, Span};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HOST, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use hyper::http::request::Parts;
+use hyper::{Request, StatusCode};
+use messages::config::{Config, Kind, Limits, Route};
+use messages::settings::Settings;
+use messages::wire::{Ask, Bank, News, Upstream};
+use rustc_hash::FxHashMap;
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
+
+use crate::bodies::Allowance;
+use crate::engine::{self, Arrival, Handle, Note, Reply};
+use crate::front::Gate;
+use crate::heads::{Answer, bare, malformed, onward, passed_on, refusal};
+use crate::upstreams::Forward;
+use crate::watch::Follower;
+
+/// Bodies that are read or held may take this part of the memory together.
+const BODIES_OF_MEMORY: usize = 4;
+/// The modules' housekeeping comes no more often than this: a fifth of a core has other work.
+const TICK: Duration = Duration::from_millis(25);
+/// A late answer keeps some worth: the rules say that it earns less, not how much less.
+const LATE_WORTH: f64 = 0.3;
+/// Who finds nobody to serve it yet comes again when news has had time to come.
+const COME_AGAIN: Span = Span(500_000);
+/// The start of a cold spell is told in whole pieces of news; moved by less than this it is the same one.
+const SAME_START: Duration = Duration::from_millis(1000);
+
+/// Headers that mean nothing when they come twice.
+const ONCE: [&str; 4] = ["host", "content-length", "attempt-id", "deadline-ms"];
+const DEADLINE: HeaderName = HeaderName::from_static("deadline-ms");
+/// What an upstream says to the balancer only.
+const INTERNAL: [HeaderName; 2] =
+    [HeaderName::from_static("upstream-load"), HeaderName::from_static("not-run")];
+
+/// A route in force.
+struct Open {
+    prefix: String,
+    deadline: Duration,
+    /// Its services by index, the class it is there, and the weight.
+    parts: Vec<(usize, usize, u32)>,
+}
+
+/// A service and the routes that are its classes; an index keeps its meaning for good.
+struct Service {
+    name: String,
+    classes: Vec<(String, d::Class)>,
+    warmup: Duration,
+    warmup_per_s: f64,
+}
+
+#[derive(Default)]
+struct Told {
+    config_index: u64,
+    limits: Limits,
+    evacuated_index: u64,
+    evacuated: Vec<String>,
+    zones: BTreeMap<String, (u64, Rc<Vec<Upstream>>)>,
+    bank: Option<Bank>,
+}
+
+/// The routes in force, and the gate of the clients' front.
+pub struct Routes {
+    engine: Handle,
+    zones: Vec<String>,
+    regions: Vec<String>,
+    zone: u32,
+    region: String,
+    bodies: Allowance,
+    told: RefCell<Told>,
+    services: RefCell<Vec<Service>>,
+    by_host: RefCell<FxHashMap<String, Vec<Rc<Open>>>>,
+    /// When an upstream started, as first told.
+    started: RefCell<FxHashMap<String, SystemTime>>,
+    turn: Cell<u32>,
+    leaving: Cell<bool>,
+    version: watch::Sender<u64>,
+    /// Holds the front to the limits that clients have.
+    limited: Box<dyn Fn(&Limits)>,
+}
+
+impl Routes {
+    pub fn new(settings: &Settings, engine: Handle, limited: Box<dyn Fn(&Limits)>) -> Rc<Self> {
+        let zones: Vec<String> = settings.zone_map.keys().cloned().collect();
+        let zone = zones.iter().position(|z| *z == settings.zone).unwrap_or(0) as u32;
+        Rc::new(Self {
+            engine,
+            regions: settings.zone_map.values().cloned().collect(),
+            zones,
+            zone,
+            region: settings.region.clone(),
+            bodies: Allowance::new((settings.limits.mem_mb << 20) / BODIES_OF_MEMORY),
+            told: RefCell::default(),
+            services: RefCell::default(),
+            by_host: RefCell::default(),
+            started: RefCell::default(),
+            turn: Cell::new(0),
+            leaving: Cell::new(false),
+            version: watch::channel(0).0,
+            limited,
+        })
+    }
+
+    /// Whether it can serve: it knows the configuration and somewhere to send to.
+    pub fn ready(&self) -> bool {
+        !self.leaving.get() && self.told.borrow().config_index > 0 && self.engine.ready()
+    }
+
+    /// It ends soon: clients are to be sent elsewhere.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+        self.changed();
+    }
+
+    fn changed(&self) {
+        self.version.send_modify(|v| *v += 1);
+    }
+
+    // ------------------------------------------------------------------ news
+
+    fn configure(&self, index: u64, text: &str) {
+        let config: Config = match serde_json::from_str(text) {
+            Ok(config) => config,
+            Err(cause) => {
+                tracing::error!(%cause, "a configuration that can't be read");
+                return;
+            }
+        };
+        {
+            let mut services = self.services.borrow_mut();
+            for s in &config.services {
+                let warmup = Duration::from_secs_f64(s.warmup_s.clamp(0.0, 86_400.0));
+                let warmup_per_s = s.warmup_per_s;
+                match services.iter_mut().find(|k| k.name == s.name) {
+                    Some(known) => (known.warmup, known.warmup_per_s) = (warmup, warmup_per_s),
+                    None => {
+                        let (name, classes) = (s.name.clone(), Vec::new());
+                        services.push(Service { name, classes, warmup, warmup_per_s });
+                    }
+                }
+            }
+            let mut by_host: FxHashMap<String, Vec<Rc<Open>>> = FxHashMap::default();
+            for route in &config.routes {
+                let class = self.class(route);
+                let mut parts = Vec::new();
+                for (name, weight) in route.parts() {
+                    let Some(s) = services.iter().position(|s| s.name == name) else { continue };
+                    let classes = &mut services[s].classes;
+                    let c = classes.iter().position(|(n, _)| *n == route.name);
+                    let c = c.unwrap_or_else(|| {
+                        classes.push((route.name.clone(), class.clone()));
+                        classes.len() - 1
+                    });
+                    classes[c].1 = class.clone();
+                    parts.push((s, c, weight));
+                }
+                let deadline = Duration::from_millis(route.deadline_ms);
+                let open = Open { prefix: route.path_prefix.clone(), deadline, parts };
+                by_host.entry(route.host.to_ascii_lowercase()).or_default().push(Rc::new(open));
+            }
+            for routes in by_host.values_mut() {
+                routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
+            }
+            *self.by_host.borrow_mut() = by_host;
+        }
+        let mut told = self.told.borrow_mut();
+        (told.config_index, told.limits) = (index, config.limits);
+        (self.limited)(&config.limits);
+    }
+
+    fn class(&self, route: &Route) -> d::Class {
+        let ms = |ms: u64| Span(ms.min(86_400_000) as i64 * 1000);
+        let home = |r: &String| route.home_regions.contains(r);
+        let zones = (!route.home_regions.is_empty()).then(|| {
+            let homes = self.regions.iter().enumerate().filter(|(_, r)| home(r));
+            homes.map(|(z, _)| z as u32).collect()
+        });
+        d::Class {
+            worth: 1.0 / f64::from(1 + route.prio.min(1000)),
+            late_worth: LATE_WORTH,
+            effect: match route.kind {
+                Kind::Idempotent => d::Effect::Safe,
+                Kind::Mutating => d::Effect::Unsafe,
+            },
+            zones,
+            attempts: Some(route.tries as usize),
+            ..d::Class::safe(ms(route.target_ms), ms(route.deadline_ms))
+        }
+    }
+
+    fn settings(&self, service: &Service, bank: Bank) -> d::Settings {
+        let classes: Vec<d::Class> = service.classes.iter().map(|(_, c)| c.clone()).collect();
+        let tries = classes.iter().filter_map(|c| c.attempts).max().unwrap_or(1);
+        let longest = classes.iter().map(|c| c.deadline).max().unwrap_or(Span(0));
+        let mut settings = d::Settings::basic(classes);
+        settings.balancers = bank.balancers;
+        settings.position = bank.position;
+        settings.zones = self.zones.len() as u32;
+        settings.zone = self.zone;
+        let distance = |region: &String| i64::from(*region != self.region);
+        settings.distance = self.regions.iter().map(|r| Span(distance(r))).collect();
+        settings.tick = Span(TICK.as_micros() as i64);
+        settings.limits.max_attempts = tries;
+        settings.limits.second_copies = true;
+        settings.limits.cancel = true;
+        settings.limits.retry_after = true;
+        settings.limits.max_retry_after = longest;
+        settings.rules.cold = Span(service.warmup.as_micros() as i64);
+        settings.rules.cold_per_s = service.warmup_per_s;
+        settings.prices.cross_zone = 1.0;
+        settings
+    }
+
+    /// Tells the engine how all services stand by now.
+    fn tell_engine(&self, settings_too: bool) {
+        let bank = self.told.borrow().bank.unwrap_or(Bank { balancers: 1, position: 0 });
+        for (i, service) in self.services.borrow().iter().enumerate() {
+            if settings_too {
+                let mut settings = self.settings(service, bank);
+                if settings.classes.is_empty() {
+                    // No route yet; the index is taken all the same.
+                    let any = d::Class::safe(Span(1_000_000), Span(1_000_000));
+                    settings.classes.push(any);
+                }
+                self.engine.tell(Note::Settings { service: i, settings: Box::new(settings) });
+            }
+            let list = self.upstreams(service);
+            self.engine.tell(Note::Members { service: i, kind: ListKind::Whole, list });
+        }
+    }
+
+    fn upstreams(&self, service: &Service) -> Vec<engine::Upstream> {
+        let told = self.told.borrow();
+        let started = self.started.borrow();
+        let mut list = Vec::new();
+        for (zone, (_, upstreams)) in &told.zones {
+            let number = self.zones.iter().position(|z| z == zone).unwrap_or(self.zones.len());
+            let closed = told.evacuated.contains(zone);
+            for u in upstreams.iter().filter(|u| u.svc == service.name) {
+                let status =
+                    if u.draining || closed { d::Status::Draining } else { d::Status::Live };
+                list.push(engine::Upstream {
+                    id: u.id.clone(),
+                    address: Some(u.addr),
+                    zone: number as u32,
+                    kind: 0,
+                    cell: 0,
+                    status,
+                    weight: 1.0,
+                    slots: u.slots,
+                    started: started.get(&u.id).copied(),
+                });
+            }
+        }
+        list
+    }
+
+    /// Notes which upstreams of a zone are cold, and since when.
+    fn note_cold(&self, upstreams: &[Upstream]) {
+        let now = SystemTime::now();
+        let services = self.services.borrow();
+        let mut started = self.started.borrow_mut();
+        for u in upstreams.iter().filter(|u| u.warm_left_ms > 0) {
+            let service = services.iter().find(|s| s.name == u.svc);
+            let warmup = service.map_or(Duration::ZERO, |s| s.warmup);
+            let passed = warmup.saturating_sub(Duration::from_millis(u.warm_left_ms));
+            let at = now.checked_sub(passed).unwrap_or(now);
+            let known = started.entry(u.id.clone()).or_insert(at);
+            if at.duration_since(*known).is_ok_and(|later| later > SAME_START) {
+                *known = at;
+            }
+        }
+    }
+
+    /// A zone is taken back: whatever is there may have turned cold.
+    fn returned(&self, zone: &str) {
+        let told = self.told.borrow();
+        let Some((_, upstreams)) = told.zones.get(zone) else { return };
+        let mut started = self.started.borrow_mut();
+        for u in upstreams.iter() {
+            started.insert(u.id.clone(), SystemTime::now());
+        }
+    }
+
+    // -------------------------------------------------------------- requests
+
+    fn route(&self, host: &str, path: &str) -> Option<Rc<Open>> {
+        let host = host.rsplit_once(':').map_or(host, |(name, port)| {
+            if port.bytes().all(|b| b.is_ascii_digit()) { name } else { host }
+        });
+        let by_host = self.by_host.borrow();
+        let routes = match by_host.get(host) {
+            Some(routes) => routes,
+            None => by_host.get(&host.to_ascii_lowercase())?,
+        };
+        routes.iter().find(|r| path.starts_with(&r.prefix)).cloned()
+    }
+
+    /// Which of a route's services takes the next request: in turn, by weight, spread by the golden ratio.
+    fn part(&self, route: &Open) -> Option<(usize, usize)> {
+        let total: u32 = route.parts.iter().map(|p| p.2).sum();
+        if total == 0 {
+            return None;
+        }
+        let turn = self.turn.replace(self.turn.get().wrapping_add(0x9e37_79b9));
+        let mut at = (u64::from(turn) * u64::from(total) >> 32) as u32;
+        for (service, class, weight) in &route.parts {
+            if at < *weight {
+                return Some((*service, *class));
+            }
+            at -= weight;
+        }
+        None
+    }
+
+    async fn take(&self, request: Request<Incoming>, arrived: Instant) -> Answer {
+        let (head, body) = request.into_parts();
+        if let Err(what) = framed(&head) {
+            return malformed(what);
+        }
+        if self.told.borrow().config_index == 0 {
+            return refusal(StatusCode::SERVICE_UNAVAILABLE, COME_AGAIN);
+        }
+        let host = head.headers.get(HOST).and_then(|v| v.to_str().ok()).unwrap_or_default();
+        let Some(route) = self.route(host, head.uri.path()) else {
+            return bare(StatusCode::NOT_FOUND);
+        };
+        let deadline = match head.headers.get(DEADLINE) {
+            None => route.deadline,
+            Some(told) => {
+                let ms = told.to_str().ok().and_then(|v| v.trim().parse::<u64>().ok());
+                let Some(ms) = ms.filter(|ms| *ms > 0) else { return malformed("Deadline-Ms") };
+                route.deadline.min(Duration::from_millis(ms))
+            }
+        };
+        let until = arrived + deadline;
+        let most = self.told.borrow().limits.max_body_bytes;
+        let length = body.size_hint().exact();
+        if length.is_some_and(|l| l > most as u64) {
+            return bare(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        let Some(_room) = self.bodies.room(length.unwrap_or(0) as usize) else {
+            return refusal(StatusCode::SERVICE_UNAVAILABLE, COME_AGAIN);
+        };
+        let body = match timeout_at(until, Limited::new(body, most).collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+                return bare(StatusCode::PAYLOAD_TOO_LARGE);
+            }
+            Ok(Err(_)) => return malformed("body"),
+            Err(_) => return bare(StatusCode::REQUEST_TIMEOUT),
+        };
+        let Some((service, class)) = self.part(&route) else {
+            return bare(StatusCode::NOT_FOUND);
+        };
+        let arrival =
+            Arrival { class, tenant: 0, key: None, until, cost_guess: None, resent: false };
+        let forward = Forward {
+            method: head.method,
+            uri: head.uri,
+            headers: onward(head.headers, body.len()),
+            body,
+        };
+        match self.engine.ask(service, arrival, forward).await {
+            Reply::Served(response) => passed_on(response, &INTERNAL),
+            Reply::Refused { retry_after } => refusal(StatusCode::SERVICE_UNAVAILABLE, retry_after),
+            Reply::Failed { late: true } => bare(StatusCode::GATEWAY_TIMEOUT),
+            Reply::Failed { late: false } => bare(StatusCode::BAD_GATEWAY),
+        }
+    }
+}
+
+impl Gate for Routes {
+    async fn answer(&self, request: Request<Incoming>, arrived: Instant, _: bool) -> Answer {
+        // A length beside a coding is read by the coding; another reader may have gone by the length, and
+        // what it took for the body must not be taken for a request here.
+        let chunked = request.headers().contains_key(TRANSFER_ENCODING);
+        let mut answer = self.take(request, arrived).await;
+        if chunked || answer.status() == StatusCode::BAD_REQUEST {
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        answer
+    }
+}
+
+/// Whether the request is framed and named such that nobody behind can read it in another way.
+fn framed(head: &Parts) -> Result<(), &'static str> {
+    if head.uri.authority().is_some() {
+        return Err("target");
+    }
+    for name in ONCE {
+        if head.headers.get_all(name).iter().nth(1).is_some() {
+            return Err(name);
+        }
+    }
+    if head.headers.contains_key(HOST) { Ok(()) } else { Err("Host") }
+}
+
+impl Follower for Routes {
+    fn ask(&self) -> Ask {
+        let told = self.told.borrow();
+        Ask {
+            config: told.config_index,
+            evacuated: told.evacuated_index,
+            zones: told.zones.iter().map(|(z, (v, _))| (z.clone(), *v)).collect(),
+            bank: None,
+            controls: Vec::new(),
+            ready: told.config_index > 0 && self.engine.ready(),
+            leaving: self.leaving.get(),
+        }
+    }
+
+    fn take(&self, news: &News) {
+        let (mut settings, mut lists) = (false, false);
+        let known = self.told.borrow().config_index;
+        if let Some((index, text)) = news.config.as_ref().filter(|(index, _)| *index > known) {
+            self.configure(*index, text);
+            settings = true;
+        }
+        for (zone, (version, upstreams)) in &news.zones {
+            if self.told.borrow().zones.get(zone).is_some_and(|(v, _)| v >= version) {
+                continue;
+            }
+            self.note_cold(upstreams);
+            let upstreams = Rc::new(upstreams.to_vec());
+            self.told.borrow_mut().zones.insert(zone.clone(), (*version, upstreams));
+            lists = true;
+        }
+        let known = self.told.borrow().evacuated_index;
+        if let Some((index, zones)) = news.evacuated.as_ref().filter(|(index, _)| *index > known) {
+            let before = {
+                let mut told = self.told.borrow_mut();
+                told.evacuated_index = *index;
+                std::mem::replace(&mut told.evacuated, zones.clone())
+            };
+            before.iter().filter(|z| !zones.contains(z)).for_each(|z| self.returned(z));
+            lists = true;
+        }
+        if settings || lists {
+            self.tell_engine(settings);
+            self.changed();
+        }
+    }
+
+    fn bank(&self, bank: Bank) {
+        if self.told.borrow_mut().bank.replace(bank) != Some(bank) {
+            self.tell_engine(true);
+        }
+    }
+
+    fn changes(&self) -> watch::Receiver<u64> {
+        self.version.subscribe()
+    }
+}
--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/crates/data-plane/src/upstreams.rs
@@ -6,21 +6,21 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollowpaddle::interface::{Outcome, Report, ServerId};
-use hollowpaddle::settings::Field;
+use decisions::interface::{Outcome, Report, ServerId};
+use decisions::settings::Field;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashMap;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::bodies::{Allowance, whole};
-use crate::clients::{HEAD_LIMIT, HEAD_LINES};
-use crate::config::Config;
+use crate::heads::HEAD_LINES;
 use crate::stream::{Tapped, Traffic, still_quiet};
 
 /// Idle connections are dropped at this share of the upstream's own limit: a request that crosses with its
@@ -30,11 +30,11 @@
 const REAP_EVERY: Duration = Duration::from_millis(250);
 /// How long a connection may take to be ready again once its answer is whole.
 const READY: Duration = Duration::from_millis(10);
+/// The head of an answer may have so many bytes.
+const HEAD_LIMIT: usize = 16 << 10;
 /// The largest answer. Failure: a body is said to have 64 KiB at most, but in service some answers have
 /// 400 KB; taken for spoilt, each cost its request and its connection.
 const ANSWER_LIMIT: usize = 1 << 20;
-/// Answers that are read, or not yet written to their clients, may take this part of the memory together.
-const ANSWERS_OF_MEMORY: usize = 4;
 /// No figure of a load report lies outside of this.
 const PLAUSIBLE: std::ops::RangeInclusive<f64> = 0.0..=1e6;
 
@@ -47,6 +47,45 @@
     }
 }
 
+/// How the upstreams of a deployment word what concerns the balancer.
+pub struct Dialect {
+    /// Tells an upstream how many milliseconds are left.
+    pub deadline: HeaderName,
+    /// Names the one upstream that a request is meant for.
+    pub target: Option<HeaderName>,
+    /// Says, with the value 1, that the request did not run; on which statuses it is believed.
+    pub not_run: HeaderName,
+    pub refusals: &'static [StatusCode],
+    /// Statuses that say that the request was served.
+    pub served: fn(StatusCode) -> bool,
+    /// An upstream's own error is the client's answer where there is no better one.
+    pub passes_errors: bool,
+    pub load: Load,
+}
+
+/// The form of load reports.
+pub enum Load {
+    /// `X-Load: TEXT name=value, ...`, and what the names mean.
+    Named(Vec<(String, Field)>),
+    /// Requests running, requests waiting and slots, joined by commas, in this header.
+    Slots(HeaderName),
+}
+
+/// What connections to upstreams are held to.
+pub struct Terms {
+    /// The most at once.
+    pub most: usize,
+    /// An upstream closes what idles for longer, unless it says so itself.
+    pub keepalive: Duration,
+    pub connect_timeout: Duration,
+    /// Unacknowledged for longer, what was sent is lost and the connection dead; none to leave it to the
+    /// system.
+    pub user_timeout: Option<Duration>,
+    /// Answers that are read, or not yet written to their clients, may take so many bytes together.
+    pub answers: usize,
+    pub dialect: Dialect,
+}
+
 /// A client's request as it goes on, the same for each of its attempts.
 pub struct Forward {
     pub method: Method,
@@ -73,6 +112,8 @@
 #[derive(Debug)]
 pub struct Target {
     pub address: Cell<SocketAddr>,
+    /// Its name, where requests say whom they are meant for.
+    pub name: Option<HeaderValue>,
     /// When sends must have ended, since it drains or is gone.
     pub closed_from: Cell<Option<Instant>>,
 }
@@ -85,6 +126,8 @@
     stream: Weak<RefCell<TcpStream>>,
     address: SocketAddr,
     idle_since: Instant,
+    /// It may idle for so long.
+    keepalive: Duration,
     _connection: AbortOnDrop,
 }
 
@@ -116,30 +159,14 @@
 pub struct Pool {
     idle: RefCell<FxHashMap<ServerId, Vec<Link>>>,
     open: Rc<Cell<usize>>,
-    most: usize,
-    idle_limit: Duration,
-    connect_timeout: Duration,
     answers: Allowance,
-    fields: Vec<(String, Field)>,
+    terms: Terms,
 }
 
 impl Pool {
-    pub fn new(most: usize, config: &Config) -> Rc<Self> {
-        let limits = &config.facts.policy_limits;
-        let ms = |ms: f64, default: f64| {
-            let ms = if ms > 0.0 && ms < 1e7 { ms } else { default };
-            Duration::from_secs_f64(ms / 1000.0)
-        };
-        let names = &config.facts.stats.names;
-        let pool = Rc::new(Self {
-            idle: RefCell::default(),
-            open: Rc::default(),
-            most,
-            idle_limit: ms(limits.keepalive, 5000.0).mul_f64(IDLE_OF_KEEPALIVE),
-            connect_timeout: ms(limits.connect_timeout, 250.0),
-            answers: Allowance::new(config.memory / ANSWERS_OF_MEMORY),
-            fields: names.iter().map(|n| (n.clone(), Field::named(n))).collect(),
-        });
+    pub fn new(terms: Terms) -> Rc<Self> {
+        let answers = Allowance::new(terms.answers);
+        let pool = Rc::new(Self { idle: RefCell::default(), open: Rc::default(), answers, terms });
         let weak = Rc::downgrade(&pool);
         tokio::task::spawn_local(async move {
             loop {
@@ -160,7 +187,8 @@
     }
 
     fn usable(&self, link: &Link) -> bool {
-        !link.sender.is_closed() && link.idle_since.elapsed() < self.idle_limit
+        !link.sender.is_closed()
+            && link.idle_since.elapsed() < link.keepalive.mul_f64(IDLE_OF_KEEPALIVE)
     }
 
     /// Drops the idle connections to an upstream.
@@ -186,7 +214,7 @@
 
     /// Makes room for one more connection at the cost of the one that has idled longest.
     fn make_room(&self) -> bool {
-        if self.open.get() < self.most {
+        if self.open.get() < self.terms.most {
             return true;
         }
         let mut idle = self.idle.borrow_mut();
@@ -208,9 +236,12 @@
             return None;
         }
         let open = Open::new(&self.open);
-        let connect = timeout(self.connect_timeout, TcpStream::connect(address));
+        let connect = timeout(self.terms.connect_timeout, TcpStream::connect(address));
         let stream = connect.await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
+        if let Some(limit) = self.terms.user_timeout {
+            SockRef::from(&stream).set_tcp_user_timeout(Some(limit)).ok()?;
+        }
         let (io, stream, traffic) = Tapped::new(stream);
         let stream = Rc::downgrade(&stream);
         let (sender, connection) = http1::Builder::new()
@@ -224,8 +255,8 @@
             let _ = connection.await;
         });
         let idle_since = Instant::now();
-        let _connection = AbortOnDrop(task);
-        Some(Link { sender, traffic, stream, address, idle_since, _connection })
+        let (_connection, keepalive) = (AbortOnDrop(task), self.terms.keepalive);
+        Some(Link { sender, traffic, stream, address, idle_since, keepalive, _connection })
     }
 
     /// One attempt: at most one request reaches the wire. `live` is asked right before it does.
@@ -272,7 +303,7 @@
                 self.put(server, link);
                 return Ended::bare(Outcome::Moot);
             }
-            let Some(request) = forward.request(until, sent) else {
+            let Some(request) = forward.request(&self.terms.dialect, target, until, sent) else {
                 return Ended::bare(Outcome::Moot);
             };
             sent.start(&link.traffic);
@@ -297,7 +328,11 @@
         answer: Response<hyper::body::Incoming>,
     ) -> Ended {
         let (head, body) = answer.into_parts();
-        let report = report(&self.fields, &head.headers);
+        let dialect = &self.terms.dialect;
+        let report = dialect.load.report(&head.headers);
+        if let Some(told) = keep_alive(&head.headers) {
+            link.keepalive = told.min(self.terms.keepalive);
+        }
         // Cut short, or larger than any answer may be: it ran, and there is nothing to pass on.
         let Some(body) = whole(body, ANSWER_LIMIT, &self.answers).await else {
             return Ended { report, ..Ended::bare(Outcome::Reset) };
@@ -308,33 +343,55 @@
             link.idle_since = Instant::now();
             self.put(server, link);
         }
-        let not_run = head.headers.get("x-not-run").is_some_and(|v| v == "1");
-        let outcome = match head.status {
-            StatusCode::OK => Outcome::Ok,
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => {
-                Outcome::Full
-            }
-            _ => Outcome::Error,
+        let not_run = head.headers.get(&dialect.not_run).is_some_and(|v| v == "1");
+        // Whoever is not the one that was meant has not run it, whatever else it says.
+        let other = dialect.target.is_some() && head.status == StatusCode::MISDIRECTED_REQUEST;
+        let outcome = if (dialect.served)(head.status) {
+            Outcome::Ok
+        } else if other || (not_run && dialect.refusals.contains(&head.status)) {
+            Outcome::Full
+        } else {
+            Outcome::Error
         };
-        let response = (outcome == Outcome::Ok).then(|| Response::from_parts(head, body));
+        let passes = outcome == Outcome::Ok || (outcome == Outcome::Error && dialect.passes_errors);
+        let response = passes.then(|| Response::from_parts(head, body));
         Ended { outcome, report, response }
     }
 }
 
-/// `X-Load: TEXT name=value, name=value`; what is not understood is left out.
-fn report(fields: &[(String, Field)], headers: &HeaderMap) -> Report {
-    let mut report = Report::default();
-    let text = headers.get("x-load").and_then(|v| v.to_str().ok());
-    let Some(text) = text.and_then(|t| t.trim().strip_prefix("TEXT")) else { return report };
-    for pair in text.split(',') {
-        let Some((name, value)) = pair.split_once('=') else { continue };
-        let Ok(value) = value.trim().parse::<f64>() else { continue };
-        let known = fields.iter().find(|(n, _)| n == name.trim());
-        if let Some((_, field)) = known.filter(|_| PLAUSIBLE.contains(&value)) {
-            field.set(&mut report, value);
+/// How long an upstream keeps idle connections, if it says so.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let told = text.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
+    told.parse().ok().map(Duration::from_secs)
+}
+
+impl Load {
+    /// What an answer's head tells; what is not understood is left out.
+    fn report(&self, headers: &HeaderMap) -> Report {
+        let mut report = Report::default();
+        let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
+        match self {
+            Load::Named(fields) => {
+                let text = text("x-load").and_then(|t| t.trim().strip_prefix("TEXT"));
+                for pair in text.unwrap_or_default().split(',') {
+                    let Some((name, value)) = pair.split_once('=') else { continue };
+                    let Ok(value) = value.trim().parse::<f64>() else { continue };
+                    let known = fields.iter().find(|(n, _)| n == name.trim());
+                    if let Some((_, field)) = known.filter(|_| PLAUSIBLE.contains(&value)) {
+                        field.set(&mut report, value);
+                    }
+                }
+            }
+            Load::Slots(header) => {
+                let mut values = text(header.as_str()).unwrap_or_default().split(',');
+                let mut next = || values.next()?.trim().parse().ok();
+                let value = |v: Option<f64>| v.filter(|v| PLAUSIBLE.contains(v));
+                (report.inflight, report.queue) = (value(next()), value(next()));
+            }
         }
+        report
     }
-    report
 }
 
 /// How much of a request was handed to the kernel.
@@ -362,14 +419,23 @@
 }
 
 impl Forward {
-    fn request(&self, until: Instant, sent: &mut Sent) -> Option<Request<Full<Bytes>>> {
+    fn request(
+        &self,
+        dialect: &Dialect,
+        target: &Target,
+        until: Instant,
+        sent: &mut Sent,
+    ) -> Option<Request<Full<Bytes>>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
         let left = until.saturating_duration_since(Instant::now()).as_millis();
         let left = HeaderValue::from_str(&left.to_string()).ok()?;
-        request.headers_mut().insert("x-deadline-ms", left);
+        request.headers_mut().insert(&dialect.deadline, left);
+        if let (Some(header), Some(name)) = (&dialect.target, &target.name) {
+            request.headers_mut().insert(header, name.clone());
+        }
         // Every name and value goes out with at least this much around it.
         let head: usize =
             request.headers().iter().map(|(n, v)| n.as_str().len() + v.len() + 4).sum();
@@ -385,10 +451,11 @@
     #[test]
     fn a_load_report_is_read_as_far_as_it_is_understood() {
         let fields = ["eps", "qps", "inflight"].map(|n| (n.to_string(), Field::named(n)));
+        let load = Load::Named(fields.to_vec());
         let read = |text: &str| {
             let mut headers = HeaderMap::new();
             headers.insert("x-load", text.parse().expect("a header"));
-            let r = report(&fields, &headers);
+            let r = load.report(&headers);
             (r.eps, r.qps, r.inflight)
         };
         assert_eq!(read("TEXT eps=0.5, qps=140, inflight=7"), (Some(0.5), Some(140.0), Some(7.0)));
@@ -397,6 +464,33 @@
         assert_eq!(read("JSON {\"eps\": 1}"), (None, None, None));
     }
 
+    #[test]
+    fn load_told_by_slots_is_read_as_far_as_it_is_understood() {
+        let load = Load::Slots(HeaderName::from_static("upstream-load"));
+        let read = |text: &str| {
+            let mut headers = HeaderMap::new();
+            headers.insert("upstream-load", text.parse().expect("a header"));
+            let r = load.report(&headers);
+            (r.inflight, r.queue)
+        };
+        assert_eq!(read("3,1,8"), (Some(3.0), Some(1.0)));
+        assert_eq!(read("3, x,8"), (Some(3.0), None));
+        assert_eq!(read(""), (None, None));
+        assert_eq!(read("-1,1e300,1"), (None, None));
+    }
+
+    fn dialect() -> Dialect {
+        Dialect {
+            deadline: HeaderName::from_static("x-deadline-ms"),
+            target: None,
+            not_run: HeaderName::from_static("x-not-run"),
+            refusals: &[],
+            served: |s| s == StatusCode::OK,
+            passes_errors: false,
+            load: Load::Named(Vec::new()),
+        }
+    }
+
     #[test]
     fn only_what_is_certainly_not_whole_never_ran() {
         let forward = Forward {
@@ -405,11 +499,13 @@
             headers: HeaderMap::new(),
             body: Bytes::from_static(b"0123456789"),
         };
+        let address = Cell::new(SocketAddr::from(([127, 0, 0, 1], 1)));
+        let target = Target { address, name: None, closed_from: Cell::new(None) };
         let mut sent = Sent::default();
         assert!(sent.untouched() && sent.never_whole(), "no connection yet");
         let traffic = Traffic::default();
         traffic.count_written(1000); // An earlier request on the same connection.
-        assert!(forward.request(Instant::now(), &mut sent).is_some());
+        assert!(forward.request(&dialect(), &target, Instant::now(), &mut sent).is_some());
         sent.start(&traffic);
         assert!(sent.untouched() && sent.never_whole());
         traffic.count_written(10);
--- /dev/null
+++ b/crates/data-plane/src/watch.rs
@@ -0,0 +1,208 @@
+//! Sessions with the control plane: asks with the versions it has, takes what is new, and thereby shows that
+//! it is there. It keeps two sessions, with the nearest control balancers that answer, so that a silent one is
+//! not silence.
+//!
+//! **Neighbours down.** Without any control balancer all stays as it was last told.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use messages::wire::{self, Ask, Balancer, Bank, Control, Hello, News, PROTOCOL};
+use socket2::SockRef;
+use tokio::io::{AsyncWriteExt, BufReader, BufWriter};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout};
+
+/// A word at least this often, in both directions.
+pub const BEAT: Duration = Duration::from_millis(1000);
+/// Without a word for so long, the other side is not there.
+pub const SILENCE: Duration = Duration::from_millis(2500);
+/// A connection that does not come up within this does not.
+const CONNECT: Duration = Duration::from_millis(1000);
+/// Sessions at the same time.
+const SESSIONS: usize = 2;
+/// A control balancer that failed is called again before others only after this.
+const REST: Duration = Duration::from_secs(5);
+/// Between two calls.
+const AGAIN: Duration = Duration::from_millis(200);
+
+/// Sets a connection up so that silence ends it.
+pub fn tune(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(SILENCE))
+}
+
+/// A connection to another process of the system.
+pub async fn dial(at: SocketAddr) -> io::Result<TcpStream> {
+    let stream = timeout(CONNECT, TcpStream::connect(at)).await??;
+    tune(&stream)?;
+    Ok(stream)
+}
+
+/// Whoever wants the news.
+pub trait Follower: 'static {
+    /// The versions it has by now; the bank and the control balancers are the session's own.
+    fn ask(&self) -> Ask;
+    /// Takes news in; what is not newer changes nothing.
+    fn take(&self, news: &News);
+    /// The bank as the sessions tell it.
+    fn bank(&self, bank: Bank);
+    /// Wakes when there is something else to ask.
+    fn changes(&self) -> watch::Receiver<u64>;
+}
+
+/// What is known of a control balancer.
+#[derive(Default)]
+struct Known {
+    at: Option<Control>,
+    failed: Option<Instant>,
+    in_use: bool,
+}
+
+/// The sessions of one data-plane balancer.
+pub struct Watch<F> {
+    me: Balancer,
+    follower: Rc<F>,
+    known: RefCell<BTreeMap<SocketAddr, Known>>,
+    banks: RefCell<BTreeMap<SocketAddr, Bank>>,
+    reached: Cell<bool>,
+}
+
+impl<F: Follower> Watch<F> {
+    pub fn new(me: Balancer, follower: Rc<F>, seeds: &[SocketAddr]) -> Rc<Self> {
+        let watch = Rc::new(Self {
+            me,
+            follower,
+            known: RefCell::default(),
+            banks: RefCell::default(),
+            reached: Cell::new(false),
+        });
+        watch.seeds(seeds);
+        watch
+    }
+
+    /// Other addresses to try.
+    pub fn seeds(&self, seeds: &[SocketAddr]) {
+        let mut known = self.known.borrow_mut();
+        for seed in seeds {
+            known.entry(*seed).or_default();
+        }
+    }
+
+    /// Keeps the sessions, for good.
+    pub async fn run(self: Rc<Self>) {
+        for _ in 1..SESSIONS {
+            tokio::task::spawn_local(self.clone().keep());
+        }
+        self.keep().await;
+    }
+
+    async fn keep(self: Rc<Self>) {
+        loop {
+            let Some(at) = self.nearest() else {
+                sleep(AGAIN).await;
+                continue;
+            };
+            self.mark(at, |k| k.in_use = true);
+            let ended = self.session(at).await;
+            self.mark(at, |k| k.in_use = false);
+            self.banks.borrow_mut().remove(&at);
+            if let Err(cause) = ended {
+                tracing::debug!(%at, %cause, "session over");
+                self.mark(at, |k| k.failed = Some(Instant::now()));
+            }
+            sleep(AGAIN).await;
+        }
+    }
+
+    fn mark(&self, at: SocketAddr, set: impl FnOnce(&mut Known)) {
+        if let Some(known) = self.known.borrow_mut().get_mut(&at) {
+            set(known);
+        }
+    }
+
+    /// How far a control balancer is, and in one order for each balancer, so that they spread.
+    fn distance(&self, at: SocketAddr, known: &Known) -> (bool, u8, u64) {
+        let resting = known.failed.is_some_and(|f| f.elapsed() < REST);
+        let far = match &known.at {
+            Some(c) if c.zone == self.me.zone => 0,
+            Some(c) if c.region == self.me.region => 1,
+            _ => 2,
+        };
+        let spread = decisions::settings::stable_hash(&format!("{at}{}", self.me.node));
+        (resting, far, spread)
+    }
+
+    fn nearest(&self) -> Option<SocketAddr> {
+        let known = self.known.borrow();
+        let free = known.iter().filter(|(_, k)| !k.in_use);
+        free.min_by_key(|(at, k)| self.distance(**at, k)).map(|(at, _)| *at)
+    }
+
+    /// Whether another one that is not in use is nearer than this.
+    fn is_far(&self, at: SocketAddr) -> bool {
+        let known = self.known.borrow();
+        let own = known.get(&at).map(|k| self.distance(at, k));
+        let free = known.iter().filter(|(_, k)| !k.in_use && k.at.is_some());
+        let best = free.map(|(at, k)| self.distance(*at, k)).min();
+        best.zip(own).is_some_and(|(best, own)| (best.0, best.1) < (own.0, own.1))
+    }
+
+    async fn session(&self, at: SocketAddr) -> io::Result<()> {
+        let (reader, writer) = dial(at).await?.into_split();
+        let (mut reader, mut writer) = (BufReader::new(reader), BufWriter::new(writer));
+        let hello = Hello::DataPlane { protocol: PROTOCOL, balancer: self.me.clone() };
+        wire::send(&mut writer, &hello).await?;
+        let mut changes = self.follower.changes();
+        let (mut bank, mut controls) = (None, Vec::new());
+        // The first word may wait for a majority.
+        let mut patience = 3 * SILENCE;
+        loop {
+            changes.borrow_and_update();
+            let ask = Ask { bank, controls: controls.clone(), ..self.follower.ask() };
+            wire::send(&mut writer, &ask).await?;
+            timeout(SILENCE, writer.flush()).await??;
+            let news: News = {
+                let news = timeout(patience, wire::receive(&mut reader));
+                tokio::pin!(news);
+                loop {
+                    tokio::select! {
+                        news = &mut news => break news??,
+                        _ = changes.changed() => {
+                            let ask = Ask { bank, controls: controls.clone(), ..self.follower.ask() };
+                            wire::send(&mut writer, &ask).await?;
+                            timeout(SILENCE, writer.flush()).await??;
+                        }
+                    }
+                }
+            };
+            patience = SILENCE;
+            self.reached.set(true);
+            if let Some(told) = news.bank {
+                bank = Some(told);
+                self.banks.borrow_mut().insert(at, told);
+                let banks = self.banks.borrow();
+                // Who sees the larger bank sees more of it.
+                if let Some(most) = banks.values().max_by_key(|b| b.balancers) {
+                    self.follower.bank(*most);
+                }
+            }
+            if let Some(told) = &news.controls {
+                controls.clone_from(told);
+                let mut known = self.known.borrow_mut();
+                for control in told {
+                    known.entry(control.inner).or_default().at = Some(control.clone());
+                }
+            }
+            self.follower.take(&news);
+            if self.is_far(at) {
+                return Ok(());
+            }
+        }
+    }
+}
--- a/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -90,6 +90,8 @@
     pub zones: Option<Vec<u32>>,
     /// The only machine kinds it may be sent to; `None` for any.
     pub kinds: Option<Vec<u32>>,
+    /// Most attempts of one request, where that is fewer than the site allows.
+    pub attempts: Option<usize>,
 }
 
 /// A tenant and its share of the service.
@@ -131,6 +133,9 @@
     pub cold_from: f64,
     /// And is warm no later than this.
     pub cold: Span,
+    /// Where it is told: requests a second that one upstream may get while it is cold, from all balancers
+    /// together; 0 where it is not.
+    pub cold_per_s: f64,
     /// It falls over when sent more than this many times its present capacity
     pub fall_multiple: f64,
     /// for this long.
@@ -202,6 +207,9 @@
     pub zones: u32,
     /// Zone of this balancer.
     pub zone: u32,
+    /// How far each zone is, in the time that a request and its answer need to cross; empty where nobody
+    /// tells.
+    pub distance: Vec<Span>,
     /// How often events are delivered at most.
     pub tick: Span,
     /// The list of upstreams comes only when asked for.
@@ -240,6 +248,7 @@
             in_order: false,
             zones: None,
             kinds: None,
+            attempts: None,
         }
     }
 }
@@ -255,6 +264,7 @@
             position: 0,
             zones: 1,
             zone: 0,
+            distance: Vec::new(),
             tick: Span(1000),
             must_ask: false,
             limits: Limits {
@@ -271,6 +281,7 @@
             rules: Rules {
                 cold_from: 1.0,
                 cold: Span(0),
+                cold_per_s: 0.0,
                 fall_multiple: 1.0,
                 tip_after: Span(0),
                 drain_grace: Span(0),
@@ -320,6 +331,9 @@
     /// An aim or deadline that no answer can meet.
     #[error("class {0} has an aim or deadline that is not above zero")]
     BadAim(usize),
+    /// Requests of a class may be open, and an index must not change its meaning under them.
+    #[error("there were {0} classes before, and now fewer")]
+    FewerClasses(usize),
 }
 
 /// State of an upstream in the list.
@@ -350,6 +364,8 @@
     pub status: Status,
     /// Relative size; 1 where unknown.
     pub weight: f64,
+    /// Requests that it runs side by side; 0 where nobody tells.
+    pub slots: u32,
     /// When it last started, if not long ago.
     pub started: Option<Time>,
 }
@@ -365,6 +381,7 @@
             cell: 0,
             status: Status::Live,
             weight: 1.0,
+            slots: 0,
             started: None,
         }
     }
--- a/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -1,4 +1,4 @@
-//! hollowpaddle decides for an HTTP load balancer that runs as a bank of proxies.
+//! The decisions of an HTTP load balancer that runs as a bank of proxies.
 //!
 //! Each proxy owns one [`policy::Balancer`], tells it what happens, and carries out
 //! the [`interface::Action`]s it answers with. The module does no I/O and reads no clock.
@@ -12,5 +12,5 @@
 
 /// The README's example, compiled as a doc test.
 #[cfg(doctest)]
-#[doc = include_str!("../README.md")]
+#[doc = include_str!("../../../README.md")]
 pub struct Readme;
--- /dev/null
+++ b/crates/decisions/src/policy/admission.rs
@@ -0,0 +1,99 @@
+//! Admission: the sum of N_i, the part of each class, and refusals.
+
+use super::*;
+
+impl Balancer {
+    /// A client request has arrived; it is sent, held or refused.
+    pub(super) fn request(&mut self, now: Time, r: Request, out: &mut Vec<Action>) {
+        let Some(class) = self.settings.classes.get(r.class) else {
+            out.push(Action::Refuse { request: r.id, retry_after: Span(0) });
+            return;
+        };
+        if self.requests.contains_key(&r.id) {
+            return;
+        }
+        // A held request is worth holding only while its aim can be met, also where a late answer keeps some
+        // worth: else, in lasting overload, the whole queue is served late.
+        let aim_at = r.drop_dead.min(now.plus(class.aim));
+        let worth_until = if class.late_worth > 0.0 { r.drop_dead } else { aim_at };
+        // Two sweeps early: a refusal must come while it is still harmless.
+        let hold_until = aim_at.plus(Span(-2 * self.settings.sweep_every().0));
+        let entry = Entry {
+            class: r.class,
+            drop_dead: r.drop_dead,
+            worth_until,
+            hold_until,
+            held: false,
+            ended: false,
+            attempts: Vec::new(),
+            turn: r.key.filter(|_| class.in_order),
+        };
+        let ahead = entry.turn.and_then(|k| self.lines.get(&k)).map_or(0, |l| l.waiting.len());
+        self.requests.insert(r.id, entry);
+        let in_share = self.in_share(now, r.tenant);
+        let starts = now.plus(Span::of(ahead as f64 * self.fleet.mean[r.class]));
+        if !self.admits(r.class, in_share) || starts >= hold_until {
+            self.refuse(r.id, out);
+            return;
+        }
+        if in_share && let Some(q) = self.quotas.get_mut(r.tenant) {
+            q.tokens -= 1.0;
+        }
+        self.join_line(now, r.id);
+        self.hold(r.id, false);
+        self.dispatch(now, out);
+    }
+
+    /// The paper's check: queued plus in-flight stay under the sum of N_i. T_QoS is one for all, the wait
+    /// that even the tightest class can bear, or long aims would fill the queue and starve short ones;
+    /// classes worth less for their work get a smaller part of it.
+    pub(super) fn admits(&self, class: usize, in_share: bool) -> bool {
+        // Failure: a tenant that sent three times its share took the others' part of a full fleet.
+        let part = if in_share { self.fleet.part[class] } else { 0.0 };
+        let room = &self.rooms[self.room_of[class]];
+        let n = room.n_per_time * (self.fleet.ts + self.fleet.bearable * part);
+        // With no list yet there is no N to sum: hold until an upstream shows or time is up.
+        n == 0.0 || ((room.queued + room.in_flight) as f64) < n.max(1.0)
+    }
+
+    pub(super) fn refresh_admission(&mut self) {
+        let f = &mut self.fleet;
+        let classes = &self.settings.classes;
+        let bear = |(c, m): (&Class, &f64)| c.aim.f() * HOLD_OF_AIM - m;
+        f.bearable = classes.iter().zip(&f.mean).map(bear).fold(f64::MAX, f64::min).max(0.0);
+        let value = |c: usize, m: &[f64]| classes[c].worth / m[c].max(1.0);
+        // Among those that are asked for: one that never was has no work to be worth something for.
+        let seen: Vec<usize> = (0..classes.len()).filter(|&c| f.mean[c] > 0.0).collect();
+        for c in 0..classes.len() {
+            let mine = value(c, &f.mean);
+            let below = seen.iter().filter(|&&o| value(o, &f.mean) < mine).count();
+            let rank = if seen.len() <= 1 { 1.0 } else { below as f64 / (seen.len() - 1) as f64 };
+            f.part[c] = LEAST_PART + (1.0 - LEAST_PART) * rank.min(1.0);
+        }
+    }
+
+    pub(super) fn refuse(&mut self, request: RequestId, out: &mut Vec<Action>) {
+        // By then all that is queued now has ended: who comes sooner stands behind the same queue.
+        let most = self.settings.limits.max_retry_after;
+        let retry_after = Span::of(self.fleet.ts + self.fleet.bearable).min(most);
+        out.push(Action::Refuse { request, retry_after });
+        self.end(request);
+    }
+
+    pub(super) fn end(&mut self, id: RequestId) {
+        let Some(e) = self.requests.get_mut(&id) else { return };
+        e.ended = true;
+        let class = e.class;
+        let (was_held, out, turn) = (std::mem::take(&mut e.held), e.out(), e.turn);
+        if was_held {
+            self.count_queued(class, -1);
+        }
+        if out {
+            return;
+        }
+        self.requests.remove(&id);
+        if let Some(line) = turn.and_then(|k| self.lines.get_mut(&k)) {
+            line.waiting.retain(|w| *w != id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/policy/dispatch.rs
@@ -0,0 +1,126 @@
+//! The queue, and the choice of an upstream with a free slot.
+
+use super::*;
+
+impl Balancer {
+    pub(super) fn hold(&mut self, id: RequestId, at_head: bool) {
+        let Some(e) = self.requests.get_mut(&id) else { return };
+        e.held = true;
+        let class = e.class;
+        self.count_queued(class, 1);
+        if at_head {
+            self.queue.push_front(id);
+        } else {
+            self.queue.push_back(id);
+        }
+    }
+
+    pub(super) fn count_queued(&mut self, class: usize, change: isize) {
+        let own = self.room_of[class];
+        for (r, room) in self.rooms.iter_mut().enumerate() {
+            if r == 0 || r == own {
+                room.queued = room.queued.saturating_add_signed(change);
+            }
+        }
+    }
+
+    /// Takes or frees slots of an upstream, in every room that it belongs to.
+    pub(super) fn count_in_flight(&mut self, server: usize, change: i32) {
+        let s = &mut self.servers[server];
+        s.in_flight = s.in_flight.saturating_add_signed(change);
+        for r in 0..self.rooms.len() {
+            if self.open_to(self.rooms[r].class, &self.servers[server]) {
+                let n = &mut self.rooms[r].in_flight;
+                *n = n.saturating_add_signed(change as isize);
+            }
+        }
+    }
+
+    /// An ordered request goes to the back of its key's line.
+    pub(super) fn join_line(&mut self, now: Time, id: RequestId) {
+        let Some(key) = self.requests.get(&id).and_then(|e| e.turn) else { return };
+        let new = || Line { waiting: VecDeque::new(), rest_until: now };
+        self.lines.entry(key).or_insert_with(new).waiting.push_back(id);
+    }
+
+    /// Whether it is at the head of its key's line and the key has rested; always, once it was sent.
+    pub(super) fn has_turn(&self, now: Time, id: RequestId, e: &Entry) -> bool {
+        let Some(line) = e.turn.and_then(|k| self.lines.get(&k)) else { return true };
+        !e.attempts.is_empty() || (line.waiting.front() == Some(&id) && now >= line.rest_until)
+    }
+
+    /// First come, first served, while some upstream has a free slot. One that waits for its key's turn, or
+    /// finds no slot among the upstreams it is bound to, holds up only its like.
+    pub(super) fn dispatch(&mut self, now: Time, out: &mut Vec<Action>) {
+        let mut i = 0;
+        let mut shut = vec![false; self.rooms.len()];
+        while let Some(&id) = self.queue.get(i) {
+            let Some(e) = self.requests.get(&id).filter(|e| e.held) else {
+                self.queue.remove(i);
+                continue;
+            };
+            let fresh = e.attempts.is_empty();
+            let r = self.room_of[e.class];
+            if (fresh && shut[r]) || !self.has_turn(now, id, e) {
+                i += 1;
+                continue;
+            }
+            let full = self.rooms[r].in_flight as f64 >= self.rooms[r].slots.max(1.0);
+            match self.pick(now, id, full) {
+                Some(server) => {
+                    self.queue.remove(i);
+                    self.send(now, id, server, out);
+                }
+                // Nothing is free. A repeat may merely be bound to other upstreams: look behind it.
+                None => {
+                    shut[r] |= fresh;
+                    if shut.iter().all(|s| *s) {
+                        break;
+                    }
+                    i += 1;
+                }
+            }
+        }
+    }
+
+    /// The first upstream in the order of cost that has a free slot. One that already failed this request
+    /// comes last. Lanes on trial are filled once the ordinary slots are all taken.
+    pub(super) fn pick(&self, now: Time, id: RequestId, full: bool) -> Option<usize> {
+        let e = self.requests.get(&id)?;
+        let mut last = None;
+        for &i in &self.order {
+            let s = &self.servers[i];
+            let trial = if full { s.trial } else { s.trial.min(0) };
+            // Failure: a proxy at its limit sent on trial to upstreams that it had left idle as slow.
+            if s.in_flight >= self.k(s, trial) || (full && s.in_flight < self.k(s, 0)) {
+                continue;
+            }
+            let shut = now < s.by_class[e.class].until && !self.panic[e.class];
+            if shut || now < s.breaker.until || !self.may_send(now, id, e, i) {
+                continue;
+            }
+            if e.attempts.iter().all(|a| a.server != i) {
+                return Some(i);
+            }
+            last = last.or(Some(i));
+        }
+        last
+    }
+
+    pub(super) fn send(&mut self, now: Time, id: RequestId, server: usize, out: &mut Vec<Action>) {
+        self.count_send(now, server);
+        self.count_level(now, server, None);
+        let Some(e) = self.requests.get_mut(&id) else { return };
+        e.held = false;
+        let first = e.attempts.is_empty();
+        self.out.push((id, e.attempts.len()));
+        e.attempts.push(Attempt::new(server, now));
+        let (class, timeout) = (e.class, e.worth_until.since(now));
+        self.count_queued(class, -1);
+        self.count_in_flight(server, 1);
+        if first {
+            self.extra = (self.extra + EXTRA).min(self.rooms[0].slots.max(1.0));
+        }
+        out.push(Action::Send { request: id, server: self.servers[server].id, timeout });
+    }
+}
--- a/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -276,6 +276,7 @@
             in_order: s.by_arrival,
             zones: s.zones_allowed.clone(),
             kinds: s.bound_to.clone(),
+            attempts: None,
         };
         let limits = &facts.policy_limits;
         d::Settings {
@@ -289,6 +290,7 @@
             position: facts.position,
             zones: facts.zones.len() as u32,
             zone: facts.zone,
+            distance: Vec::new(),
             tick: span(facts.tick),
             must_ask: facts.registry_mode == RegistryMode::Subscribe,
             limits: d::Limits {
@@ -305,6 +307,7 @@
             rules: d::Rules {
                 cold_from: facts.safety.cold_from,
                 cold: span(facts.safety.cold),
+                cold_per_s: 0.0,
                 fall_multiple: facts.safety.fall_multiple,
                 tip_after: span(facts.safety.tip_after),
                 drain_grace: span(facts.safety.drain_grace),
--- a/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 
 use crate::interface::*;
+use crate::policy::Estimate;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fate {
@@ -94,6 +95,51 @@
     pub(crate) expected: f64,
 }
 
+/// A circuit breaker: shut after a fault, twice as long after each further one in a row.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Breaker {
+    pub(crate) until: Time,
+    pub(crate) faults: u32,
+}
+
+impl Default for Breaker {
+    fn default() -> Self {
+        Self { until: Time(i64::MIN), faults: 0 }
+    }
+}
+
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) id: ServerId,
+    pub(crate) zone: u32,
+    pub(crate) kind: u32,
+    pub(crate) cell: u32,
+    pub(crate) status: Status,
+    pub(crate) weight: f64,
+    /// Requests it runs side by side, if it tells; else 0.
+    pub(crate) slots: u32,
+    pub(crate) started: Option<Time>,
+    pub(crate) identity: u64,
+    pub(crate) in_flight: u32,
+    /// When that last changed.
+    pub(crate) changed: Time,
+    /// Turned away or out of reach; and, class by class, unanswered or in error.
+    pub(crate) breaker: Breaker,
+    pub(crate) by_class: Vec<Breaker>,
+    /// When the latest-sent of its answered attempts was sent.
+    pub(crate) answered: Time,
+    pub(crate) est: Estimate,
+    /// Sends a young upstream may still get, and when that was last reckoned.
+    pub(crate) tokens: f64,
+    pub(crate) refilled: Time,
+    /// Lanes more or fewer than its kind has, by way of trial.
+    pub(crate) trial: i32,
+    /// How far from this proxy's own part of the fleet, in such parts.
+    pub(crate) reach: f64,
+    /// Until when idle connections are closed again and again, where a rule asks for it.
+    pub(crate) close_until: Time,
+}
+
 impl Entry {
     pub(crate) fn out(&self) -> bool {
         self.attempts.iter().any(|a| a.fate == Fate::Out)
--- a/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -4,8 +4,8 @@
 
 use std::collections::BTreeMap;
 
-use hollowpaddle::interface::*;
-use hollowpaddle::policy::Balancer;
+use decisions::interface::*;
+use decisions::policy::Balancer;
 
 pub const MS: i64 = 1000;
 
@@ -23,6 +23,7 @@
         in_order: false,
         zones: None,
         kinds: None,
+        attempts: None,
     }
 }
 
@@ -34,6 +35,7 @@
         position: 0,
         zones: 2,
         zone: 0,
+        distance: vec![],
         tick: Span(MS),
         must_ask: false,
         limits: Limits {
@@ -50,6 +52,7 @@
         rules: Rules {
             cold_from: 0.2,
             cold: Span(10_000 * MS),
+            cold_per_s: 0.0,
             fall_multiple: 3.0,
             tip_after: Span(1000 * MS),
             drain_grace: Span(1000 * MS),
@@ -76,6 +79,7 @@
         cell: id / 2,
         status: Status::Live,
         weight: 1.0,
+        slots: 0,
         started: None,
     }
 }
--- a/tests/mechanism.rs
+++ b/crates/decisions/tests/mechanism.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeSet;
 
 use common::{MS, World, member, settings};
-use hollowpaddle::interface::*;
-use hollowpaddle::policy::Balancer;
+use decisions::interface::*;
+use decisions::policy::Balancer;
 
 fn serve(w: &mut World, id: u64, ms: i64) {
     w.pass(Span(ms * MS));
--- a/src/bin/hollowpaddle-benchlink/instance.rs
+++ b/crates/hollowpaddle-benchlink/src/instance.rs
@@ -1,8 +1,8 @@
 //! One balancer of the bank and the names its handles stand for.
 
-use hollowpaddle::interface::{self as d, Action, Event, Report, RequestId, ServerId, Time};
-use hollowpaddle::policy::Balancer;
-use hollowpaddle::settings::{Field, key_hash, span, stable_hash};
+use decisions::interface::{self as d, Action, Event, Report, RequestId, ServerId, Time};
+use decisions::policy::Balancer;
+use decisions::settings::{Field, key_hash, span, stable_hash};
 use rustc_hash::FxHashMap;
 
 use crate::wire::{self, Command};
@@ -166,6 +166,7 @@
                 wire::Status::Dead => d::Status::Gone,
             },
             weight: line.capacity_hint,
+            slots: 0,
             started: (line.online_since > 0.0).then(|| time(line.online_since)),
         }
     }
--- a/src/bin/hollowpaddle-benchlink/wire.rs
+++ b/crates/hollowpaddle-benchlink/src/wire.rs
@@ -3,7 +3,7 @@
 use std::borrow::Cow;
 
 use arrayvec::ArrayVec;
-use hollowpaddle::settings::Facts;
+use decisions::settings::Facts;
 use serde::{Deserialize, Serialize};
 
 pub type Text<'a> = Cow<'a, str>;
--- /dev/null
+++ b/crates/hollowpaddle/src/api.rs
@@ -0,0 +1,222 @@
+//! The interface of the fleet in service: classes, tenants and deadlines by header, under `/api`.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use bytes::Bytes;
+use data_plane::bodies::Allowance;
+use data_plane::engine::{Arrival, Handle, Reply};
+use data_plane::front::Gate;
+use data_plane::heads::{Answer, bare, malformed, onward, passed_on, refusal};
+use data_plane::upstreams::Forward;
+use decisions::interface::{Class, Effect, Span};
+use decisions::settings::{Facts, key_hash};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::header::{
+    CONNECTION, COOKIE, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
+};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, StatusCode};
+use rustc_hash::FxHashSet;
+use tokio::time::{Instant, timeout};
+
+use crate::config::Config;
+
+/// The largest body that a client may send.
+const BODY_LIMIT: usize = 64 << 10;
+/// An identifier of a request may be this long.
+const ID_LIMIT: usize = 128;
+/// A body must be whole this long after its head: clients here send both at once.
+const BODY_TIME: Duration = Duration::from_millis(750);
+/// Bodies that are read or held may take this part of the memory together.
+const BODIES_OF_MEMORY: usize = 8;
+/// What an upstream says to the balancer only.
+const INTERNAL: [HeaderName; 2] =
+    [HeaderName::from_static("x-load"), HeaderName::from_static("x-not-run")];
+
+/// Headers that mean nothing when they come twice.
+const ONCE: [&str; 7] = [
+    "host",
+    "x-request-id",
+    "x-class",
+    "x-tenant",
+    "x-deadline-ms",
+    "idempotency-key",
+    "content-length",
+];
+
+pub struct Api {
+    engine: Handle,
+    facts: Facts,
+    effects: Vec<Effect>,
+    deadlines: Vec<Duration>,
+    open_ids: RefCell<FxHashSet<HeaderValue>>,
+    bodies: Allowance,
+}
+
+/// The id of a request that is open, for as long as it is.
+struct OpenId<'a> {
+    ids: &'a RefCell<FxHashSet<HeaderValue>>,
+    id: HeaderValue,
+}
+
+impl Drop for OpenId<'_> {
+    fn drop(&mut self) {
+        self.ids.borrow_mut().remove(&self.id);
+    }
+}
+
+impl Api {
+    pub fn new(config: &Config, engine: Handle) -> Self {
+        let settings = config.facts.settings();
+        let deadline = |c: &Class| Duration::from_micros(c.deadline.0.max(0) as u64);
+        Self {
+            engine,
+            facts: config.facts.clone(),
+            effects: settings.classes.iter().map(|c| c.effect).collect(),
+            deadlines: settings.classes.iter().map(deadline).collect(),
+            open_ids: RefCell::default(),
+            bodies: Allowance::new(config.memory / BODIES_OF_MEMORY),
+        }
+    }
+
+    /// The longest that any client waits.
+    pub fn longest(&self) -> Duration {
+        self.deadlines.iter().max().copied().unwrap_or_default()
+    }
+
+    async fn api(&self, request: Request<Incoming>, arrived: Instant) -> Answer {
+        let (head, body) = request.into_parts();
+        if let Err(what) = framed(&head) {
+            return malformed(what);
+        }
+        // With no transfer coding the length is known ahead.
+        let length = body.size_hint().exact().unwrap_or(u64::MAX);
+        if length > BODY_LIMIT as u64 {
+            return bare(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        let Some(_room) = self.bodies.room(length as usize) else {
+            return bare(StatusCode::SERVICE_UNAVAILABLE);
+        };
+        let body = match timeout(BODY_TIME, body.collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) => return malformed("body"),
+            Err(_) => return bare(StatusCode::REQUEST_TIMEOUT),
+        };
+        // Two requests of one id could not be told apart at an upstream.
+        let Some(_open) = head.headers.get("x-request-id").and_then(|id| self.open_id(id)) else {
+            return bare(StatusCode::CONFLICT);
+        };
+        let arrival = match self.arrival(&head, &body, arrived) {
+            Ok(arrival) => arrival,
+            Err(what) => return malformed(what),
+        };
+        let forward = Forward {
+            method: head.method,
+            uri: head.uri,
+            headers: onward(head.headers, body.len()),
+            body,
+        };
+        match self.engine.ask(0, arrival, forward).await {
+            Reply::Served(response) => passed_on(response, &INTERNAL),
+            Reply::Refused { retry_after } => refusal(StatusCode::SERVICE_UNAVAILABLE, retry_after),
+            Reply::Failed { late: true } => bare(StatusCode::GATEWAY_TIMEOUT),
+            Reply::Failed { late: false } => bare(StatusCode::BAD_GATEWAY),
+        }
+    }
+
+    fn open_id(&self, id: &HeaderValue) -> Option<OpenId<'_>> {
+        let new = self.open_ids.borrow_mut().insert(id.clone());
+        new.then(|| OpenId { ids: &self.open_ids, id: id.clone() })
+    }
+
+    /// Reads what the module needs to know; the error names what is wrong.
+    fn arrival(
+        &self,
+        head: &Parts,
+        body: &Bytes,
+        arrived: Instant,
+    ) -> Result<Arrival, &'static str> {
+        let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
+        let class = text("x-class").ok_or("X-Class")?;
+        let class = self.facts.services.iter().position(|s| s.name == class).ok_or("X-Class")?;
+        let key = head.headers.get("idempotency-key");
+        let fits = match self.effects[class] {
+            Effect::Safe => head.method == Method::GET && body.is_empty(),
+            Effect::Keyed => head.method == Method::POST && key.is_some_and(|k| !k.is_empty()),
+            Effect::Unsafe => head.method == Method::POST && key.is_none(),
+        };
+        if !fits {
+            return Err("method");
+        }
+        let deadline = text("x-deadline-ms").filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
+        let deadline = deadline.and_then(|v| v.parse::<u64>().ok()).filter(|ms| *ms > 0);
+        // No client waits longer than its class's deadline, whatever it says.
+        let deadline =
+            Duration::from_millis(deadline.ok_or("X-Deadline-Ms")?).min(self.deadlines[class]);
+        let tenant = if self.facts.tenants.is_empty() {
+            0
+        } else {
+            let name = text("x-tenant").unwrap_or_default();
+            self.facts.tenants.iter().position(|t| t.name == name).ok_or("X-Tenant")?
+        };
+        let hint = text("x-cost-hint").and_then(|v| v.trim().parse::<f64>().ok());
+        Ok(Arrival {
+            class,
+            tenant,
+            key: cookie(&head.headers, "sid").map(key_hash),
+            until: arrived + deadline,
+            cost_guess: hint.filter(|us| us.is_finite() && *us > 0.0).map(|us| Span(us as i64)),
+            resent: text("x-retry").is_some_and(|v| v == "1"),
+        })
+    }
+}
+
+impl Gate for Api {
+    async fn answer(&self, request: Request<Incoming>, arrived: Instant, stopping: bool) -> Answer {
+        let path = request.uri().path();
+        let mut answer = if path == "/-/ready" {
+            let ready = self.engine.ready() && !stopping;
+            bare(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+        } else if path == "/api" || path.starts_with("/api/") {
+            self.api(request, arrived).await
+        } else {
+            bare(StatusCode::NOT_FOUND)
+        };
+        // What follows on the connection of a client whose request makes no sense makes none either.
+        if answer.status().is_client_error() {
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        answer
+    }
+}
+
+/// Whether the request is framed and named such that nobody behind can read it in another way; the error
+/// names what is wrong. Failure: hyper drops a `Content-Length` beside a `Transfer-Encoding`, so an upstream
+/// could have found a second request in the body. Clients here need no transfer codings.
+fn framed(head: &Parts) -> Result<(), &'static str> {
+    if head.headers.contains_key(TRANSFER_ENCODING) {
+        return Err("Transfer-Encoding");
+    }
+    if head.uri.authority().is_some() {
+        return Err("target");
+    }
+    for name in ONCE {
+        if head.headers.get_all(name).iter().nth(1).is_some() {
+            return Err(name);
+        }
+    }
+    let plain = |v: &HeaderValue| v.to_str().is_ok();
+    if !head.headers.contains_key(HOST) || !head.headers.values().all(plain) {
+        return Err("headers");
+    }
+    let id = head.headers.get("x-request-id").map_or(0, HeaderValue::len);
+    if (1..=ID_LIMIT).contains(&id) { Ok(()) } else { Err("X-Request-Id") }
+}
+
+fn cookie<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    let lines = headers.get_all(COOKIE).iter().filter_map(|v| v.to_str().ok());
+    let mut pairs = lines.flat_map(|l| l.split(';')).filter_map(|p| p.trim().split_once('='));
+    pairs.find(|(n, _)| *n == name).map(|(_, value)| value)
+}
--- a/src/bin/hollowpaddle/config.rs
+++ b/crates/hollowpaddle/src/config.rs
@@ -1,8 +1,14 @@
 //! What the platform tells a balancer: four environment variables and a JSON file.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use hollowpaddle::settings::Facts;
+use data_plane::connections::Times;
+use data_plane::front::Bounds;
+use data_plane::upstreams::{Dialect, Load, Terms};
+use decisions::settings::{Facts, Field};
+use hyper::StatusCode;
+use hyper::header::HeaderName;
 use serde::Deserialize;
 
 use crate::discovery::List;
@@ -10,6 +16,17 @@
 /// Descriptors that are neither a client's nor an upstream's: standard streams, the event queue, the
 /// listener, the watch, signals.
 const RESERVED: usize = 24;
+/// How long connections are still accepted after SIGTERM: the front needs a moment to hear of it.
+const LINGER: Duration = Duration::from_millis(500);
+/// A head must be whole this long after its connection came up, or after its first byte on a kept one. With
+/// a body's own limit it stays under the 3 s within which whoever sends no whole request is owed a word.
+const HEAD_TIME: Duration = Duration::from_millis(2000);
+/// A kept connection is closed once it has idled for so long.
+const IDLE: Duration = Duration::from_secs(4);
+/// A client's head may be this large.
+const HEAD_LIMIT: usize = 16 << 10;
+/// Answers that are read, or not yet written to their clients, may take this part of the memory together.
+const ANSWERS_OF_MEMORY: usize = 4;
 /// Where the platform states no limit.
 const SOCKETS: usize = 1024;
 const MEMORY_MB: usize = 192;
@@ -64,14 +81,6 @@
     pub facts: Facts,
 }
 
-/// How many connections each side may have.
-pub struct Budget {
-    pub clients: usize,
-    /// So many clients' connections in use leave room for more; beyond, idle ones are closed.
-    pub clients_at_ease: usize,
-    pub upstreams: usize,
-}
-
 impl Config {
     /// Reads what is stated now. The file may be replaced while the program runs and the environment can't
     /// be: where both name discovery, the file holds.
@@ -98,7 +107,7 @@
             name: say("LB_NAME", file.name),
             listen: address("LB_LISTEN", say("LB_LISTEN", file.listen))?,
             discovery: address("LB_DISCOVERY", discovery)?,
-            seed: hollowpaddle::settings::key_hash(&seed),
+            seed: decisions::settings::key_hash(&seed),
             sockets,
             memory: file.limits.memory_mb.unwrap_or(MEMORY_MB) << 20,
             known: file.known,
@@ -107,10 +116,46 @@
     }
 
     /// Half the descriptors for each side. Every attempt belongs to a client's request, so while clients
-    /// keep to their half, upstreams can never need more than theirs. Clients open a third of the
-    /// descriptors at most for requests; a part of that is kept free for those that have something to ask.
-    pub fn budget(&self) -> Budget {
-        let half = (self.sockets - RESERVED) / 2;
-        Budget { clients: half, clients_at_ease: self.sockets / 4, upstreams: half }
+    /// keep to their half, upstreams can never need more than theirs.
+    fn half(&self) -> usize {
+        (self.sockets - RESERVED) / 2
+    }
+
+    /// Clients open a third of the descriptors at most for requests; a part of that is kept free for those
+    /// that have something to ask. What was taken last before the end has its whole deadline.
+    pub fn bounds(&self, longest: Duration) -> Bounds {
+        Bounds {
+            most: self.half(),
+            at_ease: self.sockets / 4,
+            head: HEAD_LIMIT,
+            times: Times { head: HEAD_TIME, idle: IDLE },
+            linger: LINGER,
+            finish: longest,
+        }
+    }
+
+    pub fn terms(&self) -> Terms {
+        let limits = &self.facts.policy_limits;
+        let ms = |ms: f64, default: f64| {
+            let ms = if ms > 0.0 && ms < 1e7 { ms } else { default };
+            Duration::from_secs_f64(ms / 1000.0)
+        };
+        let names = self.facts.stats.names.iter();
+        Terms {
+            most: self.half(),
+            keepalive: ms(limits.keepalive, 5000.0),
+            connect_timeout: ms(limits.connect_timeout, 250.0),
+            user_timeout: None,
+            answers: self.memory / ANSWERS_OF_MEMORY,
+            dialect: Dialect {
+                deadline: HeaderName::from_static("x-deadline-ms"),
+                target: None,
+                not_run: HeaderName::from_static("x-not-run"),
+                refusals: &[StatusCode::SERVICE_UNAVAILABLE, StatusCode::GATEWAY_TIMEOUT],
+                served: |status| status == StatusCode::OK,
+                passes_errors: false,
+                load: Load::Named(names.map(|n| (n.clone(), Field::named(n))).collect()),
+            },
+        }
     }
 }
--- a/src/bin/hollowpaddle/main.rs
+++ b/crates/hollowpaddle/src/main.rs
@@ -1,29 +1,35 @@
 //! One balancer on real sockets: clients in front, upstreams behind, every decision in the module.
 //!
-//! Everything runs on one thread. The tasks that do I/O tell the [`engine`] what happened and carry out
+//! Everything runs on one thread. The tasks that do I/O tell the engine what happened and carry out
 //! what it says; only the engine touches the module.
 #![forbid(unsafe_code)]
 
-mod bodies;
-mod clients;
+mod api;
 mod config;
-mod connections;
 mod discovery;
-mod engine;
-mod stream;
-mod upstreams;
 
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 
+use data_plane::engine::{self, Engine};
+use data_plane::front::Front;
+use data_plane::upstreams::Pool;
+use decisions::interface::ListKind;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
-use clients::Front;
+use api::Api;
 use config::Config;
-use engine::Engine;
-use upstreams::Pool;
+use discovery::{Names, Watch};
+
+/// The module works to this much less than the client's deadline, so that an answer at the deadline still
+/// arrives: the way to the client, and a busy moment here.
+const HEADROOM: Duration = Duration::from_millis(15);
+/// Sends to an upstream that drains end this much before the grace does.
+const DRAIN_MARGIN: Duration = Duration::from_millis(100);
 
 fn main() -> ExitCode {
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
@@ -49,25 +55,43 @@
     let config = Config::read().map_err(|e| e.to_string())?;
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
-    let budget = config.budget();
-    let pool = Pool::new(budget.upstreams, &config);
-    let (engine, handle) = Engine::new(&config, pool).map_err(|e| format!("settings: {e}"))?;
+    let settings = config.facts.settings();
+    let must_ask = settings.must_ask;
+    let grace = Duration::from_micros(settings.rules.drain_grace.0.max(0) as u64);
+    let (subscribe, subscriptions) = mpsc::unbounded_channel();
+    let terms = engine::Terms {
+        seed: config.seed,
+        headroom: HEADROOM,
+        drain_grace: grace.saturating_sub(DRAIN_MARGIN),
+        grid: Duration::ZERO,
+        subscribe: Some(subscribe),
+    };
+    let (mut engine, handle) = Engine::new(terms, Pool::new(config.terms()));
+    engine.settings(0, settings).map_err(|e| format!("settings: {e}"))?;
+    let names =
+        Names { zones: config.facts.zones.clone(), kinds: config.facts.machine_types.clone() };
+    engine.listed(0, ListKind::Restored, &names.upstreams(&config.known));
+    let revision = config.known.revision;
+    let watch = Watch::new(config.discovery, revision, must_ask, names, handle.teller());
+    let (moved, moves) = mpsc::unbounded_channel();
+    tokio::task::spawn_local(watch.run(subscriptions, moves));
     let engine = tokio::task::spawn_local(engine.run());
     // The bound address, not the wanted one: with port 0 it is the only word of where clients connect.
     let bound = listener.local_addr().map_err(|e| format!("listen on {}: {e}", config.listen))?;
     tracing::info!(name = config.name, "listening on {bound}");
-    let reload = handle.reloader();
     let reloads = async move {
         while hangup.recv().await.is_some() {
             // A file that can't be used must not cost the service that runs.
             match Config::read() {
-                Ok(new) => reload(new.discovery),
+                Ok(new) => drop(moved.send(new.discovery)),
                 Err(cause) => tracing::error!("the old configuration stays: {cause}"),
             }
         }
     };
     tokio::task::spawn_local(reloads);
-    let front = Rc::new(Front::new(&config, handle, &budget));
+    let api = Rc::new(Api::new(&config, handle));
+    let bounds = config.bounds(api.longest());
+    let front = Front::new(api, bounds);
     let serve = front.serve(listener, async move {
         term.recv().await;
     });
--- /dev/null
+++ b/crates/messages/src/lib.rs
@@ -0,0 +1,10 @@
+//! What the system's own processes say to each other, and what they are told.
+//!
+//! [`settings`] is the file that a process is started with, [`config`] the configuration that operators
+//! send, [`wire`] the frames between processes: a length and a `ciborium` body, with the protocol's version
+//! in the first.
+#![forbid(unsafe_code)]
+
+pub mod config;
+pub mod settings;
+pub mod wire;
--- /dev/null
+++ b/crates/messages/src/wire.rs
@@ -0,0 +1,178 @@
+//! Frames between the system's own processes: four bytes of length, then a `ciborium` body.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use agreement::{Message, NodeId};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+
+/// This build's protocol. A process that speaks another is turned away by its first frame.
+pub const PROTOCOL: u32 = 1;
+/// No frame is longer: a configuration of ten thousand routes fits many times.
+pub const LONGEST: usize = 16 << 20;
+
+/// The first frame on every connection: who calls.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Hello {
+    /// A data-plane balancer opens its session.
+    DataPlane { protocol: u32, balancer: Balancer },
+    /// A control balancer, at this address for others to call back.
+    Control { protocol: u32, id: NodeId, at: Control },
+}
+
+/// A data-plane balancer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Balancer {
+    pub node: String,
+    pub zone: String,
+    pub region: String,
+    /// Where clients reach it.
+    pub http: SocketAddr,
+}
+
+/// A control balancer.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Control {
+    pub inner: SocketAddr,
+    pub zone: String,
+    pub region: String,
+}
+
+/// A data-plane balancer asks for news of what it does not have.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Ask {
+    /// The place in the log of the configuration that it has in force, and of the evacuations.
+    pub config: u64,
+    pub evacuated: u64,
+    /// The version it has of each zone's upstreams.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub zones: BTreeMap<String, u64>,
+    /// Of the bank and of the control balancers.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub bank: Option<Bank>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub controls: Vec<Control>,
+    /// It is able to serve; it is about to end.
+    pub ready: bool,
+    pub leaving: bool,
+}
+
+/// What it does not have; nothing of all that, where only the time for a word has come.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct News {
+    /// The configuration as it was sent, and its place in the log.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub config: Option<(u64, Arc<str>)>,
+    /// The zones that get nothing, and the place in the log.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub evacuated: Option<(u64, Vec<String>)>,
+    /// Zones' upstreams, each with its version.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub zones: BTreeMap<String, (u64, Arc<Vec<Upstream>>)>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub bank: Option<Bank>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub controls: Option<Vec<Control>>,
+}
+
+/// How many data-plane balancers there are, and which of them one is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bank {
+    pub balancers: u32,
+    pub position: u32,
+}
+
+/// An upstream as its cell knows it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Upstream {
+    pub id: String,
+    pub svc: String,
+    pub addr: SocketAddr,
+    pub zone: String,
+    pub slots: u32,
+    pub draining: bool,
+    /// It is cold for so much longer, as of when the cell learned it.
+    pub warm_left_ms: u64,
+}
+
+/// What control balancers tell each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Tell {
+    /// Of the log.
+    Log(Message),
+    /// Who wants to take part in it.
+    Join { id: NodeId, inner: SocketAddr },
+    /// All sessions that stand with the sender, and who it knows to serve control.
+    Sessions { sessions: Vec<Session>, controls: Vec<Control> },
+    /// A zone's upstreams, from its cell.
+    Zone { zone: String, version: u64, upstreams: Arc<Vec<Upstream>> },
+}
+
+/// A data-plane balancer's session, as others are told of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Session {
+    pub balancer: Balancer,
+    pub ready: bool,
+    pub leaving: bool,
+}
+
+/// A frame as it goes on the wire.
+pub fn frame<T: Serialize>(message: &T) -> io::Result<Vec<u8>> {
+    let mut bytes = vec![0; 4];
+    ciborium::into_writer(message, &mut bytes).map_err(io::Error::other)?;
+    let length = bytes.len() - 4;
+    if length > LONGEST {
+        return Err(io::Error::new(io::ErrorKind::InvalidData, "a frame that is too long"));
+    }
+    bytes[..4].copy_from_slice(&(length as u32).to_be_bytes());
+    Ok(bytes)
+}
+
+/// Reads one message out of a frame's body.
+pub fn parse<T: DeserializeOwned>(body: &[u8]) -> io::Result<T> {
+    ciborium::from_reader(body)
+        .map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e.to_string()))
+}
+
+pub async fn send<T: Serialize>(to: &mut (impl AsyncWrite + Unpin), message: &T) -> io::Result<()> {
+    to.write_all(&frame(message)?).await
+}
+
+/// The next message. Memory is taken as bytes come, not as the length promises.
+pub async fn receive<T: DeserializeOwned>(from: &mut (impl AsyncRead + Unpin)) -> io::Result<T> {
+    let length = from.read_u32().await? as usize;
+    if length > LONGEST {
+        return Err(io::Error::new(io::ErrorKind::InvalidData, "a frame that is too long"));
+    }
+    let mut body = Vec::with_capacity(length.min(64 << 10));
+    from.take(length as u64).read_to_end(&mut body).await?;
+    if body.len() < length {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    parse(&body)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test(flavor = "current_thread")]
+    async fn a_message_comes_back_as_it_went_and_rubbish_is_an_error() {
+        let ask = Ask { config: 7, ready: true, ..Ask::default() };
+        let bytes = frame(&ask).expect("a frame");
+        assert_eq!(receive::<Ask>(&mut &bytes[..]).await.expect("a message"), ask);
+        for cut in 0..bytes.len() {
+            assert!(receive::<Ask>(&mut &bytes[..cut]).await.is_err(), "cut at {cut}");
+        }
+        let long = [0xff, 0xff, 0xff, 0xff, 0];
+        assert!(receive::<Ask>(&mut &long[..]).await.is_err(), "longer than any");
+        let rubbish = [0, 0, 0, 3, 0xff, 0xfe, 0xfd];
+        assert!(receive::<Ask>(&mut &rubbish[..]).await.is_err());
+    }
+}
