--- a/crates/data-plane/src/engine.rs
+++ b/crates/data-plane/src/engine.rs
@@ -661,7 +661,6 @@
             most: 1,
             keepalive: Duration::from_secs(5),
             connect_timeout: Duration::from_millis(250),
-            user_timeout: None,
             answers: 1 << 20,
             dialect: Dialect {
                 deadline: HeaderName::from_static("x-deadline-ms"),
--- a/crates/data-plane/src/node.rs
+++ b/crates/data-plane/src/node.rs
@@ -35,8 +35,6 @@
 const KEEPALIVE: Duration = Duration::from_secs(8);
 /// A connection that is not up by then failed: several round trips between regions.
 const CONNECT: Duration = Duration::from_millis(400);
-/// Sent bytes that nobody acknowledged for so long are lost.
-const USER_TIMEOUT: Duration = Duration::from_millis(3000);
 /// Answers that are read, or not yet written to their clients, may take this part of the memory together.
 const ANSWERS_OF_MEMORY: usize = 4;
 /// The platform's checks are few.
@@ -117,7 +115,6 @@
         most: half,
         keepalive: KEEPALIVE,
         connect_timeout: CONNECT,
-        user_timeout: Some(USER_TIMEOUT),
         answers: (settings.limits.mem_mb << 20) / ANSWERS_OF_MEMORY,
         dialect: dialect(),
     });
--- a/crates/data-plane/src/upstreams.rs
+++ b/crates/data-plane/src/upstreams.rs
@@ -14,7 +14,6 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashMap;
-use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -78,9 +77,6 @@
     /// An upstream closes what idles for longer, unless it says so itself.
     pub keepalive: Duration,
     pub connect_timeout: Duration,
-    /// Unacknowledged for longer, what was sent is lost and the connection dead; none to leave it to the
-    /// system.
-    pub user_timeout: Option<Duration>,
     /// Answers that are read, or not yet written to their clients, may take so many bytes together.
     pub answers: usize,
     pub dialect: Dialect,
@@ -239,9 +235,6 @@
         let connect = timeout(self.terms.connect_timeout, TcpStream::connect(address));
         let stream = connect.await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
-        if let Some(limit) = self.terms.user_timeout {
-            SockRef::from(&stream).set_tcp_user_timeout(Some(limit)).ok()?;
-        }
         let (io, stream, traffic) = Tapped::new(stream);
         let stream = Rc::downgrade(&stream);
         let (sender, connection) = http1::Builder::new()
--- a/crates/data-plane/src/watch.rs
+++ b/crates/data-plane/src/watch.rs
@@ -12,7 +12,6 @@
 use std::time::Duration;
 
 use messages::wire::{self, Ask, Balancer, Bank, Control, Hello, News, PROTOCOL};
-use socket2::SockRef;
 use tokio::io::{AsyncWriteExt, BufReader, BufWriter};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -31,10 +30,9 @@
 /// Between two calls.
 const AGAIN: Duration = Duration::from_millis(200);
 
-/// Sets a connection up so that silence ends it.
+/// Sets a connection up. That silence ends it is seen to by the time limits on every read and write.
 pub fn tune(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    SockRef::from(stream).set_tcp_user_timeout(Some(SILENCE))
+    stream.set_nodelay(true)
 }
 
 /// A connection to another process of the system.
--- a/crates/hollowpaddle/src/config.rs
+++ b/crates/hollowpaddle/src/config.rs
@@ -145,7 +145,6 @@
             most: self.half(),
             keepalive: ms(limits.keepalive, 5000.0),
             connect_timeout: ms(limits.connect_timeout, 250.0),
-            user_timeout: None,
             answers: self.memory / ANSWERS_OF_MEMORY,
             dialect: Dialect {
                 deadline: HeaderName::from_static("x-deadline-ms"),
