--- a/crates/control-plane/src/peers.rs
+++ b/crates/control-plane/src/peers.rs
@@ -101,7 +101,7 @@
 }
 
 async fn converse(cell: Rc<Cell>, mut stream: TcpStream) -> io::Result<()> {
-    data_plane::watch::tune(&stream)?;
+    data_plane::watch::tune(&stream);
     let hello = timeout(HELLO, wire::receive::<Hello>(&mut stream)).await??;
     let other = |protocol| {
         tracing::warn!(protocol, "a caller that speaks another protocol is turned away");
--- a/crates/data-plane/src/watch.rs
+++ b/crates/data-plane/src/watch.rs
@@ -31,14 +31,15 @@
 const AGAIN: Duration = Duration::from_millis(200);
 
 /// Sets a connection up. That silence ends it is seen to by the time limits on every read and write.
-pub fn tune(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)
+pub fn tune(stream: &TcpStream) {
+    // Without it words are only later; a connection that is broken says so when it is read.
+    let _ = stream.set_nodelay(true);
 }
 
 /// A connection to another process of the system.
 pub async fn dial(at: SocketAddr) -> io::Result<TcpStream> {
     let stream = timeout(CONNECT, TcpStream::connect(at)).await??;
-    tune(&stream)?;
+    tune(&stream);
     Ok(stream)
 }
 
