Choose upstreams by the load they tell, near ones first

Cause: a balancer filled the first upstream in its ring up to K_i while others did the same there; upstreams told their load and nobody read it (busiest over mean 2.0 to 2.5), and a region away counted as a zone away. Change: others' requests, as the last answer told, count towards K_i; among those with room the one with the least time to an answer goes first. Upstreams that tell nothing are chosen as before.

--- a/crates/data-plane/src/routes.rs
+++ b/crates/data-plane/src/routes.rs
@@ -314,7 +314,7 @@
             return None;
         }
         let turn = self.turn.replace(self.turn.get().wrapping_add(0x9e37_79b9));
-        let mut at = (u64::from(turn) * u64::from(total) >> 32) as u32;
+        let mut at = ((u64::from(turn) * u64::from(total)) >> 32) as u32;
         for (service, class, weight) in &route.parts {
             if at < *weight {
                 return Some((*service, *class));
--- a/crates/decisions/src/policy/attempts.rs
+++ b/crates/decisions/src/policy/attempts.rs
@@ -127,6 +127,11 @@
         if !attempt.freed {
             self.count_in_flight(server, -1);
         }
+        if let Some(running) = a.report.inflight {
+            let s = &mut self.servers[server];
+            let all = running + a.report.queue.unwrap_or(0.0);
+            (s.others, s.told) = ((all - f64::from(s.in_flight)).max(0.0), now);
+        }
     }
 
     /// Moves the limit by what an answer tells of the room there. Failure: where a zone was lost with its
--- a/crates/decisions/src/policy/dispatch.rs
+++ b/crates/decisions/src/policy/dispatch.rs
@@ -87,24 +87,43 @@
     /// comes last. Lanes on trial are filled once the ordinary slots are all taken.
     pub(super) fn pick(&self, now: Time, id: RequestId, full: bool) -> Option<usize> {
         let e = self.requests.get(&id)?;
-        let mut last = None;
+        let mut last: Option<(bool, f64, usize)> = None;
         for &i in &self.order {
             let s = &self.servers[i];
             let trial = if full { s.trial } else { s.trial.min(0) };
+            let load = f64::from(s.in_flight) + self.others(now, s);
             // Failure: a proxy at its limit sent on trial to upstreams that it had left idle as slow.
-            if s.in_flight >= self.k(s, trial) || (full && s.in_flight < self.k(s, 0)) {
+            if load >= f64::from(self.k(s, trial)) || (full && s.in_flight < self.k(s, 0)) {
                 continue;
             }
             let shut = now < s.by_class[e.class].until && !self.panic[e.class];
             if shut || now < s.breaker.until || !self.may_send(now, id, e, i) {
                 continue;
             }
-            if e.attempts.iter().all(|a| a.server != i) {
+            let tried = e.attempts.iter().any(|a| a.server == i);
+            if s.slots == 0 && !tried {
                 return Some(i);
             }
-            last = last.or(Some(i));
+            let cost = if s.slots == 0 { 0.0 } else { self.told_cost(s, load) };
+            if last.is_none_or(|(t, c, _)| (tried, cost) < (t, c)) {
+                last = Some((tried, cost, i));
+            }
         }
-        last
+        last.map(|(.., i)| i)
+    }
+
+    /// Others' requests at an upstream, as far as it told lately.
+    pub(super) fn others(&self, now: Time, s: &Server) -> f64 {
+        if now.since(s.told).f() < TOLD_OF_TS * self.ts(s) { s.others } else { 0.0 }
+    }
+
+    /// The time to an answer of one that tells its load, in mean service times: longer the fuller it is, and
+    /// the farther. Among equals, one's own part of the fleet comes first.
+    fn told_cost(&self, s: &Server, load: f64) -> f64 {
+        let away = |d: &Span| if d.0 > 0 { REGION_AWAY } else { ZONE_AWAY };
+        let far = self.settings.distance.get(s.zone as usize).map_or(0.0, away);
+        let far = if s.zone == self.settings.zone { 0.0 } else { far };
+        s.est.slow * (1.0 + load / self.lanes(s)) + far + NEAR * s.reach.min(1.0)
     }
 
     pub(super) fn send(&mut self, now: Time, id: RequestId, server: usize, out: &mut Vec<Action>) {
--- a/crates/decisions/src/policy/estimates.rs
+++ b/crates/decisions/src/policy/estimates.rs
@@ -38,13 +38,13 @@
 /// Failure: judged by how long answers take at each level, one core looked like two: attempts that end before
 /// their neighbour does are the short ones.
 #[derive(Clone, Debug)]
-pub(super) struct Lanes {
+pub(crate) struct Lanes {
     pub(super) count: usize,
     pub(super) level: Vec<Level>,
 }
 
 impl Lanes {
-    pub(super) fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Self { count: 1, level: vec![Level::default(); MOST_LANES + 1] }
     }
 
@@ -85,34 +85,6 @@
     }
 }
 
-/// What the fleet as a whole sustains for this proxy.
-#[derive(Debug, Default)]
-pub(super) struct Fleet {
-    pub(super) ts: f64,
-    /// Mean latency of each class, and its mean deviation.
-    pub(super) mean: Vec<f64>,
-    pub(super) dev: Vec<f64>,
-    /// Share of the attempts for which the time of a second copy came and that were never answered.
-    pub(super) hopeless: Vec<f64>,
-    /// The longest wait that each class can bear, and the part of it that a class may use.
-    pub(super) bearable: f64,
-    pub(super) part: Vec<f64>,
-    pub(super) tp2: f64,
-    /// By kind of upstream.
-    pub(super) lanes: Vec<Lanes>,
-    pub(super) tried: Time,
-    /// This proxy's limit in even parts of the bank, and TS as it was in good times. Failure: judged by the
-    /// TS of the moment, a whole bank that crowds itself never looks crowded.
-    pub(super) leeway: f64,
-    pub(super) good: f64,
-    /// Answers of warm upstreams, a decaying count by kind; and the highest rate of them per unit of weight
-    /// that was seen lately, by kind and over all.
-    pub(super) warm_served: Vec<f64>,
-    pub(super) warm_rate: Vec<f64>,
-    pub(super) any_rate: f64,
-    pub(super) counted: Time,
-}
-
 impl Balancer {
     pub(super) fn ts(&self, s: &Server) -> f64 {
         self.fleet.ts * s.est.slow
--- a/crates/decisions/src/policy/members.rs
+++ b/crates/decisions/src/policy/members.rs
@@ -134,6 +134,8 @@
                 est: Estimate::NONE,
                 tokens: 0.0,
                 refilled: now,
+                others: 0.0,
+                told: now,
                 trial: 0,
                 reach: 0.0,
                 close_until: now,
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -19,13 +19,10 @@
 mod members;
 mod tenants;
 
-pub(crate) use estimates::Estimate;
-use estimates::{Fleet, Lanes};
+pub(crate) use estimates::{Estimate, Lanes};
 
 // ------------------------------------------------------------------- tunables
 
-/// Housekeeping period as a share of the shortest aim: held requests are refused close to their limit.
-const SWEEP_OF_AIM: f64 = 1.0 / 32.0;
 /// Weight of a new round trip in TS (per answer): about the last eight answers count.
 const TS_GAIN: f64 = 0.125;
 /// Weight of a new answer in the fleet's mean of its class.
@@ -62,6 +59,12 @@
 const FAR: f64 = 1.0;
 /// Least reach in the cost of an upstream, so that slowness tells also in the middle of one's part.
 const NEAR: f64 = 0.1;
+/// For an upstream that tells its load: how much fuller a near one must be before one in another zone, or in
+/// another region, is as good; a region away, only where all near ones are full.
+const ZONE_AWAY: f64 = 0.25;
+const REGION_AWAY: f64 = 1.0;
+/// What was told of others' requests holds for so many service times: by then they have ended.
+const TOLD_OF_TS: f64 = 2.0;
 /// Own are the upstreams within half a part to either side.
 const OWN: f64 = 0.5;
 /// Pace to a young upstream of one's own, as a share of the stated multiple: few proxies own the same one.
@@ -106,20 +109,6 @@
 /// A list call unanswered for this share of `ask_every` is made again.
 const ASK_AGAIN_OF_EVERY: f64 = 0.5;
 
-// ------------------------------------------------------------------- settings
-
-impl Settings {
-    /// T_QoS: one target for all, the mean of the class aims.
-    fn t_qos(&self) -> f64 {
-        self.classes.iter().map(|c| c.aim.f()).sum::<f64>() / self.classes.len() as f64
-    }
-
-    fn sweep_every(&self) -> Span {
-        let aim = self.classes.iter().map(|c| c.aim.0).min().unwrap_or(0);
-        Span(((aim as f64 * SWEEP_OF_AIM) as i64).max(self.tick.0))
-    }
-}
-
 // ------------------------------------------------------------------- state
 
 impl Breaker {
@@ -189,20 +178,7 @@
             out: Vec::new(),
             extra: 1.0,
             panic: vec![false; classes],
-            fleet: Fleet {
-                ts: t_qos * TS_PRIOR_OF_QOS,
-                mean: vec![0.0; classes],
-                dev: vec![0.0; classes],
-                hopeless: vec![0.0; classes],
-                bearable: t_qos * TS_PRIOR_OF_QOS,
-                part: vec![1.0; classes],
-                lanes: vec![Lanes::new()],
-                tried: now,
-                leeway: LEEWAY,
-                good: t_qos,
-                counted: now,
-                ..Fleet::default()
-            },
+            fleet: Fleet::new(classes, t_qos, t_qos * TS_PRIOR_OF_QOS, LEEWAY, now),
             quotas: settings.tenants.iter().map(|_| Quota { tokens: 1.0, counted: now }).collect(),
             ask: Asking { subscribed: false, next: now, failures: 0 },
             settings,
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 
 use crate::interface::*;
-use crate::policy::Estimate;
+use crate::policy::{Estimate, Lanes};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fate {
@@ -132,6 +132,9 @@
     /// Sends a young upstream may still get, and when that was last reckoned.
     pub(crate) tokens: f64,
     pub(crate) refilled: Time,
+    /// Requests of others there, as its last answer told, and when it did.
+    pub(crate) others: f64,
+    pub(crate) told: Time,
     /// Lanes more or fewer than its kind has, by way of trial.
     pub(crate) trial: i32,
     /// How far from this proxy's own part of the fleet, in such parts.
@@ -140,6 +143,54 @@
     pub(crate) close_until: Time,
 }
 
+/// What the fleet as a whole sustains for this proxy.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    pub(crate) ts: f64,
+    /// Mean latency of each class, and its mean deviation.
+    pub(crate) mean: Vec<f64>,
+    pub(crate) dev: Vec<f64>,
+    /// Share of the attempts for which the time of a second copy came and that were never answered.
+    pub(crate) hopeless: Vec<f64>,
+    /// The longest wait that each class can bear, and the part of it that a class may use.
+    pub(crate) bearable: f64,
+    pub(crate) part: Vec<f64>,
+    pub(crate) tp2: f64,
+    /// By kind of upstream.
+    pub(crate) lanes: Vec<Lanes>,
+    pub(crate) tried: Time,
+    /// This proxy's limit in even parts of the bank, and TS as it was in good times. Failure: judged by the
+    /// TS of the moment, a whole bank that crowds itself never looks crowded.
+    pub(crate) leeway: f64,
+    pub(crate) good: f64,
+    /// Answers of warm upstreams, a decaying count by kind; and the highest rate of them per unit of weight
+    /// that was seen lately, by kind and over all.
+    pub(crate) warm_served: Vec<f64>,
+    pub(crate) warm_rate: Vec<f64>,
+    pub(crate) any_rate: f64,
+    pub(crate) counted: Time,
+}
+
+impl Fleet {
+    /// Before any answer: `ts` for every upstream, and nothing known of any class.
+    pub(crate) fn new(classes: usize, t_qos: f64, ts: f64, leeway: f64, now: Time) -> Self {
+        Self {
+            ts,
+            mean: vec![0.0; classes],
+            dev: vec![0.0; classes],
+            hopeless: vec![0.0; classes],
+            bearable: ts,
+            part: vec![1.0; classes],
+            lanes: vec![Lanes::new()],
+            tried: now,
+            leeway,
+            good: t_qos,
+            counted: now,
+            ..Self::default()
+        }
+    }
+}
+
 impl Entry {
     pub(crate) fn out(&self) -> bool {
         self.attempts.iter().any(|a| a.fate == Fate::Out)
@@ -166,3 +217,18 @@
         (rooms, room_of)
     }
 }
+
+/// Housekeeping period as a share of the shortest aim: held requests are refused close to their limit.
+const SWEEP_OF_AIM: f64 = 1.0 / 32.0;
+
+impl Settings {
+    /// T_QoS: one target for all, the mean of the class aims.
+    pub(crate) fn t_qos(&self) -> f64 {
+        self.classes.iter().map(|c| c.aim.f()).sum::<f64>() / self.classes.len() as f64
+    }
+
+    pub(crate) fn sweep_every(&self) -> Span {
+        let aim = self.classes.iter().map(|c| c.aim.0).min().unwrap_or(0);
+        Span(((aim as f64 * SWEEP_OF_AIM) as i64).max(self.tick.0))
+    }
+}
