Tell a list that can't be had from an empty one; make the checks of the workspace pass

Cause: moved into the engine, a failed list call was taken for an empty list, and all upstreams for gone. Found by the node's test of a full descriptor table.

--- a/crates/control-plane/src/interface.rs
+++ b/crates/control-plane/src/interface.rs
@@ -83,7 +83,7 @@
                 } else {
                     Command::Return { zone }
                 };
-                self.order(&path, &command).await
+                self.order(path, &command).await
             }
             _ => fault(StatusCode::NOT_FOUND, "no such call"),
         }
--- a/crates/control-plane/src/peers.rs
+++ b/crates/control-plane/src/peers.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use data_plane::watch::{BEAT, SILENCE, dial};
-use messages::wire::{self, Ask, Hello, News, PROTOCOL, Session, Tell};
+use messages::wire::{self, Ask, Hello, PROTOCOL, Session, Tell};
 use tokio::io::{AsyncWriteExt, BufReader, BufWriter};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -163,7 +163,7 @@
         if news.is_some() || said.elapsed() >= BEAT {
             said = Instant::now();
             let written = async {
-                wire::send(&mut writer, &news.unwrap_or_else(News::default)).await?;
+                wire::send(&mut writer, &news.unwrap_or_default()).await?;
                 writer.flush().await
             };
             timeout(WRITE, written).await??;
--- a/crates/data-plane/src/engine.rs
+++ b/crates/data-plane/src/engine.rs
@@ -443,6 +443,10 @@
 
     /// Takes in a list and tells the module.
     pub fn listed(&mut self, service: usize, kind: ListKind, list: &[Upstream]) {
+        if kind == ListKind::Unavailable {
+            // No list is not an empty list.
+            return self.tell(service, Event::Members { kind, list: &[] });
+        }
         let Some(known) = self.services.get_mut(service) else { return };
         let clock = self.clock;
         let members =
