--- a/crates/decisions/src/policy/admission.rs
+++ b/crates/decisions/src/policy/admission.rs
@@ -62,12 +62,13 @@
         let bear = |(c, m): (&Class, &f64)| c.aim.f() * HOLD_OF_AIM - m;
         f.bearable = classes.iter().zip(&f.mean).map(bear).fold(f64::MAX, f64::min).max(0.0);
         let value = |c: usize, m: &[f64]| classes[c].worth / m[c].max(1.0);
-        // Among those that are asked for: one that never was has no work to be worth something for.
-        let seen: Vec<usize> = (0..classes.len()).filter(|&c| f.mean[c] > 0.0).collect();
         for c in 0..classes.len() {
-            let mine = value(c, &f.mean);
-            let below = seen.iter().filter(|&&o| value(o, &f.mean) < mine).count();
-            let rank = if seen.len() <= 1 { 1.0 } else { below as f64 / (seen.len() - 1) as f64 };
+            // Failure: beside routes hardly asked for, the one with all the traffic had the least part.
+            let rivals = (0..classes.len()).filter(|&o| f.share[o] > f.share[c] * RIVAL);
+            let rivals: Vec<f64> = rivals.map(|o| value(o, &f.mean)).collect();
+            let below = rivals.iter().filter(|&&v| v < value(c, &f.mean)).count();
+            let rank =
+                if rivals.len() <= 1 { 1.0 } else { below as f64 / (rivals.len() - 1) as f64 };
             f.part[c] = LEAST_PART + (1.0 - LEAST_PART) * rank.min(1.0);
         }
     }
--- a/crates/decisions/src/policy/dispatch.rs
+++ b/crates/decisions/src/policy/dispatch.rs
@@ -117,8 +117,7 @@
         if now.since(s.told).f() < TOLD_OF_TS * self.ts(s) { s.others } else { 0.0 }
     }
 
-    /// The time to an answer of one that tells its load, in mean service times: longer the fuller it is, and
-    /// the farther. Among equals, one's own part of the fleet comes first.
+    /// The time to an answer of one that tells its load, in mean service times; one's own part comes first.
     fn told_cost(&self, s: &Server, load: f64) -> f64 {
         let away = |d: &Span| if d.0 > 0 { REGION_AWAY } else { ZONE_AWAY };
         let far = self.settings.distance.get(s.zone as usize).map_or(0.0, away);
--- a/crates/decisions/src/policy/estimates.rs
+++ b/crates/decisions/src/policy/estimates.rs
@@ -181,6 +181,8 @@
 
     pub(super) fn learn_means(&mut self, class: usize, latency: f64) {
         self.fleet.ts += (latency - self.fleet.ts) * MEAN_GAIN;
+        self.fleet.share.iter_mut().for_each(|s| *s -= *s * MEAN_GAIN);
+        self.fleet.share[class] += MEAN_GAIN;
         let (mean, dev) = (&mut self.fleet.mean[class], &mut self.fleet.dev[class]);
         let (off, new) = ((latency - *mean).abs(), *mean == 0.0);
         *dev += (if new { latency / 2.0 } else { off } - *dev) * if new { 1.0 } else { MEAN_GAIN };
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -51,6 +51,8 @@
 const HOLD_OF_AIM: f64 = 0.7;
 /// Part of the bearable wait that the class of least worth for its work may use.
 const LEAST_PART: f64 = 0.2;
+/// A class that asks for less than this share of what another does can't fill the queue that both wait in.
+const RIVAL: f64 = 0.1;
 /// An upstream this many times slower than the mean is a suspect.
 const SUSPECT: f64 = 2.0;
 /// Points of the proxies on the ring: multiples of the golden ratio are even for any run and every n-th.
@@ -187,7 +189,7 @@
 
     /// Takes over other settings in service; classes keep what was learned of them by their index. Its host
     /// keeps an index for as long as a request of that class is open.
-    pub fn reconfigure(&mut self, settings: Settings) -> Result<(), SettingsError> {
+    pub fn reconfigure(&mut self, now: Time, settings: Settings) -> Result<(), SettingsError> {
         let settings = settings.checked()?;
         let classes = settings.classes.len().max(self.settings.classes.len());
         if classes > settings.classes.len() {
@@ -197,7 +199,7 @@
         (self.rooms, self.room_of) = settings.rooms();
         self.panic.resize(classes, false);
         let f = &mut self.fleet;
-        for per_class in [&mut f.mean, &mut f.dev, &mut f.hopeless, &mut f.part] {
+        for per_class in [&mut f.mean, &mut f.dev, &mut f.share, &mut f.hopeless, &mut f.part] {
             per_class.resize(classes, 0.0);
         }
         self.servers.iter_mut().for_each(|s| s.by_class.resize(classes, Breaker::default()));
@@ -210,6 +212,7 @@
         }
         self.count_rooms();
         self.draw_parts();
+        self.refresh_fleet(now);
         Ok(())
     }
 
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -150,6 +150,8 @@
     /// Mean latency of each class, and its mean deviation.
     pub(crate) mean: Vec<f64>,
     pub(crate) dev: Vec<f64>,
+    /// Share of each class in the answers of late.
+    pub(crate) share: Vec<f64>,
     /// Share of the attempts for which the time of a second copy came and that were never answered.
     pub(crate) hopeless: Vec<f64>,
     /// The longest wait that each class can bear, and the part of it that a class may use.
@@ -178,6 +180,7 @@
             ts,
             mean: vec![0.0; classes],
             dev: vec![0.0; classes],
+            share: vec![0.0; classes],
             hopeless: vec![0.0; classes],
             bearable: ts,
             part: vec![1.0; classes],
--- /dev/null
+++ b/crates/decisions/tests/told.rs
@@ -0,0 +1,163 @@
+//! Upstreams that tell what they have: slots, load, cold spells; and settings that change in service.
+
+mod common;
+
+use common::{MS, class, settings};
+use decisions::interface::*;
+use decisions::policy::Balancer;
+
+fn told(id: u32, slots: u32, zone: u32) -> Member {
+    Member { slots, zone, ..Member::live(ServerId(id)) }
+}
+
+struct Host {
+    balancer: Balancer,
+    now: Time,
+    next: u64,
+}
+
+impl Host {
+    fn new(settings: Settings, list: &[Member]) -> Self {
+        let now = Time(1_000_000_000);
+        let balancer = Balancer::new(settings, 1, now).expect("settings");
+        let mut host = Self { balancer, now, next: 0 };
+        host.tell(Event::Members { kind: ListKind::Whole, list });
+        host
+    }
+
+    fn tell(&mut self, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.balancer.handle(self.now, event, &mut actions);
+        actions
+    }
+
+    fn ask(&mut self, class: usize) -> (RequestId, Option<ServerId>) {
+        self.next += 1;
+        let id = RequestId(self.next);
+        let actions =
+            self.tell(Event::Request(Request::new(id, class, self.now.plus(Span(600 * MS)))));
+        let sent = actions.iter().find_map(|a| match a {
+            Action::Send { request, server, .. } if *request == id => Some(*server),
+            _ => None,
+        });
+        (id, sent)
+    }
+
+    fn answer(&mut self, id: RequestId, server: ServerId, running: f64) -> Vec<Action> {
+        self.now = self.now.plus(Span(20 * MS));
+        let report = Report { inflight: Some(running), queue: Some(0.0), ..Report::default() };
+        let answer = Answer::new(id, 0, server, Outcome::Ok, Span(20 * MS), true);
+        self.tell(Event::Answered(Answer { report, ..answer }))
+    }
+}
+
+#[test]
+fn requests_of_others_count_towards_the_cap_of_an_upstream_that_tells_them() {
+    let mut host = Host::new(settings(), &[told(0, 2, 0), told(1, 2, 0)]);
+    let (id, first) = host.ask(0);
+    let first = first.expect("a free slot");
+    host.answer(id, first, 2.0); // Two of others run there: it is full.
+    for _ in 0..2 {
+        let (_, sent) = host.ask(0);
+        assert!(sent.is_some_and(|s| s != first), "sent to the full one: {sent:?}");
+    }
+    let (_, held) = host.ask(0);
+    assert_eq!(held, None, "both are full: it waits here, not there");
+    // By the time those have ended, what was told holds no longer.
+    host.now = host.now.plus(Span(150 * MS));
+    let actions = host.tell(Event::Timer(1));
+    assert!(actions.iter().any(|a| matches!(a, Action::Send { server, .. } if *server == first)));
+}
+
+#[test]
+fn a_near_upstream_goes_first_until_it_is_full_and_a_region_away_comes_last() {
+    let mut settings = settings();
+    (settings.zones, settings.distance) = (3, vec![Span(0), Span(0), Span(1)]);
+    settings.prices.cross_zone = 1.0;
+    let mut host = Host::new(settings, &[told(0, 2, 2), told(1, 2, 1), told(2, 2, 0)]);
+    let order: Vec<Option<ServerId>> = (0..6).map(|_| host.ask(0).1).collect();
+    assert_eq!(order[0], Some(ServerId(2)), "the own zone");
+    let region = |s: &Option<ServerId>| *s == Some(ServerId(0));
+    let first_away = order.iter().position(region);
+    assert!(
+        first_away.is_none_or(|at| at >= 4),
+        "a region away before all near were full: {order:?}"
+    );
+}
+
+#[test]
+fn cold_upstreams_get_this_balancers_part_of_what_they_bear() {
+    let mut settings = settings();
+    settings.balancers = 10;
+    (settings.rules.cold, settings.rules.cold_from) = (Span(3_000 * MS), 1.0);
+    settings.rules.cold_per_s = 50.0;
+    let mut host = Host::new(settings, &[]);
+    let cold = Member { started: Some(host.now), ..told(0, 6, 0) };
+    host.tell(Event::Members { kind: ListKind::Whole, list: &[cold] });
+    let mut sent = 0;
+    for _ in 0..200 {
+        let (id, server) = host.ask(0);
+        host.now = host.now.plus(Span(5 * MS));
+        match server {
+            Some(server) => {
+                sent += 1;
+                let answer = Answer::new(id, 0, server, Outcome::Ok, Span(MS), true);
+                host.tell(Event::Answered(answer));
+            }
+            None => {
+                host.tell(Event::Left(id));
+            }
+        }
+    }
+    // A second of 50 a second over ten balancers, and what may be earned before.
+    assert!((4..=6).contains(&sent), "{sent} sent in a second");
+}
+
+#[test]
+fn settings_change_in_service_and_classes_keep_their_index() {
+    let mut host = Host::new(settings(), &[told(0, 2, 0)]);
+    let (id, sent) = host.ask(0);
+    let mut more = settings();
+    more.classes.push(class(Effect::Safe));
+    host.balancer.reconfigure(host.now, more).expect("one class more");
+    assert!(host.answer(id, sent.expect("sent"), 0.0).is_empty());
+    assert!(host.ask(3).1.is_some(), "the new class is served");
+    let fewer = Settings { classes: vec![class(Effect::Safe)], ..settings() };
+    assert_eq!(host.balancer.reconfigure(host.now, fewer), Err(SettingsError::FewerClasses(4)));
+    assert!(host.ask(3).1.is_some(), "and all is as it was");
+}
+
+#[test]
+fn told_slots_are_the_lanes_of_k() {
+    let host = Host::new(settings(), &[told(0, 6, 0)]);
+    let (_, k, _) = host.balancer.upstream(ServerId(0), Span(1000 * MS)).expect("known");
+    assert_eq!(k, 6);
+}
+
+#[test]
+fn a_route_with_all_the_traffic_is_not_the_least_beside_one_that_is_hardly_asked_for() {
+    // Failure: ranked by worth for their work alone, it had a fifth of the bearable wait.
+    let mut settings = settings();
+    settings.classes = vec![class(Effect::Safe), class(Effect::Safe)];
+    settings.classes[1].worth = 2.0;
+    let refused = |rare: bool| {
+        let mut host = Host::new(settings.clone(), &[told(0, 4, 0)]);
+        for i in 0..400 {
+            let (id, sent) = host.ask(usize::from(rare && i % 100 == 0));
+            host.answer(id, sent.expect("a free slot"), 0.0);
+            if i % 10 == 0 {
+                host.tell(Event::Timer(1));
+            }
+        }
+        host.tell(Event::Timer(1));
+        let mut refused = 0;
+        for _ in 0..60 {
+            host.next += 1;
+            let request = Request::new(RequestId(host.next), 0, host.now.plus(Span(600 * MS)));
+            let actions = host.tell(Event::Request(request));
+            refused += actions.iter().filter(|a| matches!(a, Action::Refuse { .. })).count();
+        }
+        refused
+    };
+    assert_eq!(refused(true), refused(false));
+}
