--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -51,7 +51,7 @@
 const HOLD_OF_AIM: f64 = 0.7;
 /// Part of the bearable wait that the class of least worth for its work may use.
 const LEAST_PART: f64 = 0.2;
-/// A class that asks for less than this share of what another does can't fill the queue that both wait in.
+/// A class that asks for less than this share of what another does can't fill the queue of both.
 const RIVAL: f64 = 0.1;
 /// An upstream this many times slower than the mean is a suspect.
 const SUSPECT: f64 = 2.0;
@@ -61,8 +61,7 @@
 const FAR: f64 = 1.0;
 /// Least reach in the cost of an upstream, so that slowness tells also in the middle of one's part.
 const NEAR: f64 = 0.1;
-/// For an upstream that tells its load: how much fuller a near one must be before one in another zone, or in
-/// another region, is as good; a region away, only where all near ones are full.
+/// How much fuller a near upstream must be, where told, before one in another zone or region is as good.
 const ZONE_AWAY: f64 = 0.25;
 const REGION_AWAY: f64 = 1.0;
 /// What was told of others' requests holds for so many service times: by then they have ended.
