--- a/crates/decisions/src/policy/dispatch.rs
+++ b/crates/decisions/src/policy/dispatch.rs
@@ -112,9 +112,9 @@
         last.map(|(.., i)| i)
     }
 
-    /// Others' requests at an upstream, as far as it told lately.
+    /// Others' requests at an upstream, as far as those that it told of have not ended by now.
     pub(super) fn others(&self, now: Time, s: &Server) -> f64 {
-        if now.since(s.told).f() < TOLD_OF_TS * self.ts(s) { s.others } else { 0.0 }
+        s.others * (-now.since(s.told).f() / self.ts(s)).exp()
     }
 
     /// The time to an answer of one that tells its load, in mean service times; one's own part comes first.
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -64,8 +64,6 @@
 /// How much fuller a near upstream must be, where told, before one in another zone or region is as good.
 const ZONE_AWAY: f64 = 0.25;
 const REGION_AWAY: f64 = 1.0;
-/// What was told of others' requests holds for so many service times: by then they have ended.
-const TOLD_OF_TS: f64 = 2.0;
 /// Own are the upstreams within half a part to either side.
 const OWN: f64 = 0.5;
 /// Pace to a young upstream of one's own, as a share of the stated multiple: few proxies own the same one.
