--- a/crates/data-plane/src/watch.rs
+++ b/crates/data-plane/src/watch.rs
@@ -4,7 +4,7 @@
 //!
 //! **Neighbours down.** Without any control balancer all stays as it was last told.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -69,18 +69,12 @@
     follower: Rc<F>,
     known: RefCell<BTreeMap<SocketAddr, Known>>,
     banks: RefCell<BTreeMap<SocketAddr, Bank>>,
-    reached: Cell<bool>,
 }
 
 impl<F: Follower> Watch<F> {
     pub fn new(me: Balancer, follower: Rc<F>, seeds: &[SocketAddr]) -> Rc<Self> {
-        let watch = Rc::new(Self {
-            me,
-            follower,
-            known: RefCell::default(),
-            banks: RefCell::default(),
-            reached: Cell::new(false),
-        });
+        let watch =
+            Rc::new(Self { me, follower, known: RefCell::default(), banks: RefCell::default() });
         watch.seeds(seeds);
         watch
     }
@@ -181,7 +175,6 @@
                 }
             };
             patience = SILENCE;
-            self.reached.set(true);
             if let Some(told) = news.bank {
                 bank = Some(told);
                 self.banks.borrow_mut().insert(at, told);
