Use the task guard there is, say an ask in one place, call log members once a second

Cause: peers had a second AbortOnDrop; the watch wrote its ask twice; every message and tick of the log parsed all members' addresses to call those that are called already.

--- a/crates/control-plane/src/cell.rs
+++ b/crates/control-plane/src/cell.rs
@@ -163,6 +163,7 @@
             self.with_core(|core| core.tick(self.start.elapsed().as_millis() as u64));
             if told.elapsed() >= TELL {
                 told = Instant::now();
+                self.meet_members();
                 self.tell_sessions();
                 self.join();
                 self.forget_lapsed();
@@ -245,11 +246,6 @@
                 let _ = self.disk.send(Order::Compact(snapshot));
             }
         }
-        let members: Vec<SocketAddr> =
-            inner.core.members().all().filter_map(|(_, at)| at.parse().ok()).collect();
-        for at in members {
-            self.meet_in(inner, at, None);
-        }
         news
     }
 
@@ -379,6 +375,16 @@
         }
     }
 
+    /// Those that the log names are called, whether they have called or not.
+    fn meet_members(&self) {
+        let mut inner = self.inner.borrow_mut();
+        let members: Vec<SocketAddr> =
+            inner.core.members().all().filter_map(|(_, at)| at.parse().ok()).collect();
+        for at in members {
+            self.meet_in(&mut inner, at, None);
+        }
+    }
+
     /// A control balancer has called.
     pub fn called(&self, id: NodeId, control: Control) {
         let mut inner = self.inner.borrow_mut();
--- a/crates/control-plane/src/peers.rs
+++ b/crates/control-plane/src/peers.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use data_plane::upstreams::AbortOnDrop;
 use data_plane::watch::{BEAT, SILENCE, dial};
 use messages::wire::{self, Ask, Hello, PROTOCOL, Session, Tell};
 use tokio::io::{AsyncWriteExt, BufReader, BufWriter};
@@ -142,16 +143,15 @@
     let mut writer = BufWriter::new(writer);
     let (heard, mut asks) = mpsc::channel::<Ask>(8);
     // Reading has a task of its own: a frame half read must not be dropped.
-    let mut reading = tokio::task::spawn_local(async move {
+    // Its end closes the channel.
+    let _reading = AbortOnDrop(tokio::task::spawn_local(async move {
         let mut reader = BufReader::new(reader);
-        loop {
-            let ask = timeout(SILENCE, wire::receive::<Ask>(&mut reader)).await??;
+        while let Ok(Ok(ask)) = timeout(SILENCE, wire::receive::<Ask>(&mut reader)).await {
             if heard.send(ask).await.is_err() {
-                return Ok::<(), io::Error>(());
+                return;
             }
         }
-    });
-    let _stop = StopOnDrop(reading.abort_handle());
+    }));
     let mut has = asks.recv().await.ok_or(io::ErrorKind::UnexpectedEof)?;
     note(cell, mark, &mut session, &has);
     cell.catch_up(CONFIRM).await;
@@ -175,7 +175,6 @@
             }
             _ = changes.changed() => {}
             () = tokio::time::sleep_until(said + BEAT) => {}
-            ended = &mut reading => return ended.map_err(io::Error::other)?,
         }
     }
 }
@@ -184,11 +183,3 @@
     (session.ready, session.leaving) = (ask.ready, ask.leaving);
     cell.session(Some(mark), session.clone());
 }
-
-struct StopOnDrop(tokio::task::AbortHandle);
-
-impl Drop for StopOnDrop {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
--- a/crates/data-plane/src/engine.rs
+++ b/crates/data-plane/src/engine.rs
@@ -24,6 +24,7 @@
 
 /// At this much less than the client's deadline the engine answers itself, should a module still owe it.
 const BACKSTOP: Duration = Duration::from_millis(5);
+
 /// An upstream as whoever lists it knows it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Upstream {
--- a/crates/data-plane/src/watch.rs
+++ b/crates/data-plane/src/watch.rs
@@ -14,6 +14,7 @@
 use messages::wire::{self, Ask, Balancer, Bank, Control, Hello, News, PROTOCOL};
 use tokio::io::{AsyncWriteExt, BufReader, BufWriter};
 use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -146,6 +147,17 @@
         best.zip(own).is_some_and(|(best, own)| (best.0, best.1) < (own.0, own.1))
     }
 
+    async fn say(
+        &self,
+        writer: &mut BufWriter<OwnedWriteHalf>,
+        bank: Option<Bank>,
+        controls: &[Control],
+    ) -> io::Result<()> {
+        let ask = Ask { bank, controls: controls.to_vec(), ..self.follower.ask() };
+        wire::send(writer, &ask).await?;
+        timeout(SILENCE, writer.flush()).await?
+    }
+
     async fn session(&self, at: SocketAddr) -> io::Result<()> {
         let (reader, writer) = dial(at).await?.into_split();
         let (mut reader, mut writer) = (BufReader::new(reader), BufWriter::new(writer));
@@ -157,20 +169,14 @@
         let mut patience = 3 * SILENCE;
         loop {
             changes.borrow_and_update();
-            let ask = Ask { bank, controls: controls.clone(), ..self.follower.ask() };
-            wire::send(&mut writer, &ask).await?;
-            timeout(SILENCE, writer.flush()).await??;
+            self.say(&mut writer, bank, &controls).await?;
             let news: News = {
                 let news = timeout(patience, wire::receive(&mut reader));
                 tokio::pin!(news);
                 loop {
                     tokio::select! {
                         news = &mut news => break news??,
-                        _ = changes.changed() => {
-                            let ask = Ask { bank, controls: controls.clone(), ..self.follower.ask() };
-                            wire::send(&mut writer, &ask).await?;
-                            timeout(SILENCE, writer.flush()).await??;
-                        }
+                        _ = changes.changed() => self.say(&mut writer, bank, &controls).await?,
                     }
                 }
             };
