Hold a zone by each of its evacuations; check the disk's file, outlast a refusing disk

A zone was evacuated twice, overlapping; the first order's return cleared both. Ruled out: the carrying of news.

--- a/crates/control-plane/src/cell.rs
+++ b/crates/control-plane/src/cell.rs
@@ -53,12 +53,38 @@
     at: Instant,
 }
 
+/// The state's form in a snapshot. A member that meets another one ends: what it can't read it must not
+/// pass over.
+const KEPT: u32 = 2;
+
 /// The state that goes into a snapshot.
 #[derive(Serialize, Deserialize)]
 struct Kept {
+    form: u32,
     agreed: Agreed,
 }
 
+impl Kept {
+    fn read(data: &[u8]) -> Result<Agreed, String> {
+        match ciborium::from_reader::<Self, _>(data) {
+            Ok(kept) if kept.form == KEPT => Ok(kept.agreed),
+            Ok(kept) => {
+                Err(format!("a snapshot of form {}, and this build reads {KEPT}", kept.form))
+            }
+            Err(e) => Err(format!("a snapshot that can't be read: {e}")),
+        }
+    }
+}
+
+/// Where a cell's own words go.
+pub struct Ways {
+    pub disk: disk::Sender<Order>,
+    /// Peers to be dialled.
+    pub dial: mpsc::UnboundedSender<(SocketAddr, mpsc::Receiver<Tell>)>,
+    /// Why this member can't go on.
+    pub breaks: mpsc::UnboundedSender<String>,
+}
+
 struct Inner {
     core: Core,
     agreed: Agreed,
@@ -71,6 +97,8 @@
     ids: FxHashMap<NodeId, SocketAddr>,
     local: BTreeMap<String, (u64, Session)>,
     zones: BTreeMap<String, Zone>,
+    /// Each zone's last order: whether it evacuated, and when it was applied here.
+    drained: FxHashMap<String, (bool, Instant)>,
 }
 
 /// One control balancer.
@@ -80,10 +108,8 @@
     pub me: Control,
     start: Instant,
     inner: RefCell<Inner>,
-    disk: disk::Sender<Order>,
+    ways: Ways,
     version: watch::Sender<u64>,
-    /// Peers to be dialled.
-    dial: mpsc::UnboundedSender<(SocketAddr, mpsc::Receiver<Tell>)>,
     next_session: Plain<u64>,
 }
 
@@ -97,13 +123,7 @@
 }
 
 impl Cell {
-    pub fn new(
-        settings: Settings,
-        id: NodeId,
-        stored: agreement::Stored,
-        disk: disk::Sender<Order>,
-        dial: mpsc::UnboundedSender<(SocketAddr, mpsc::Receiver<Tell>)>,
-    ) -> Rc<Self> {
+    pub fn new(settings: Settings, id: NodeId, stored: agreement::Stored, ways: Ways) -> Rc<Self> {
         let timing = Timing { heartbeat: HEARTBEAT, election: ELECTION };
         let core = Core::new(id, timing, id, stored, Members::default());
         let me = Control {
@@ -126,10 +146,10 @@
                 ids: FxHashMap::default(),
                 local: BTreeMap::new(),
                 zones: BTreeMap::new(),
+                drained: FxHashMap::default(),
             }),
-            disk,
+            ways,
             version: watch::channel(0).0,
-            dial,
             next_session: Plain::new(0),
             settings,
         });
@@ -194,7 +214,7 @@
 
     fn carry_out(&self, inner: &mut Inner, out: Output) -> bool {
         for save in out.save {
-            let _ = self.disk.send(Order::Save(save));
+            let _ = self.ways.disk.send(Order::Save(save));
         }
         for message in out.send {
             let known = inner.core.members().all().find(|(id, _)| *id == message.to);
@@ -206,8 +226,12 @@
         }
         let mut news = false;
         if let Some(snapshot) = out.restored {
-            if let Ok(kept) = ciborium::from_reader::<Kept, _>(&snapshot.data[..]) {
-                inner.agreed = kept.agreed;
+            // The founders' first one carries no state.
+            if !snapshot.data.is_empty() {
+                match Kept::read(&snapshot.data) {
+                    Ok(agreed) => inner.agreed = agreed,
+                    Err(why) => drop(self.ways.breaks.send(why)),
+                }
             }
             inner.applied = snapshot.index;
             news = true;
@@ -217,11 +241,18 @@
             let waiting = inner.orders.remove(&entry.index);
             match entry.payload {
                 Payload::Data(data) => {
+                    let mut drain = None;
                     let verdict = match ciborium::from_reader::<Command, _>(&data[..]) {
-                        Ok(command) => inner.agreed.apply(entry.index, &command),
+                        Ok(command) => {
+                            drain = command.drain();
+                            inner.agreed.apply(entry.index, &command)
+                        }
                         Err(e) => Verdict::Invalid(e.to_string()),
                     };
                     news |= verdict == Verdict::Taken;
+                    if let (Verdict::Taken, Some(drain)) = (&verdict, drain) {
+                        inner.drained.insert(drain.0, (drain.1, Instant::now()));
+                    }
                     if let Some((term, waiting)) = waiting
                         && term == entry.term
                     {
@@ -239,11 +270,11 @@
         }
         if inner.core.log_len() > COMPACT {
             let mut data = Vec::new();
-            let kept = Kept { agreed: inner.agreed.clone() };
+            let kept = Kept { form: KEPT, agreed: inner.agreed.clone() };
             let written = ciborium::into_writer(&kept, &mut data).is_ok();
             let applied = inner.applied;
             if let Some(snapshot) = inner.core.compact(applied, data).filter(|_| written) {
-                let _ = self.disk.send(Order::Compact(snapshot));
+                let _ = self.ways.disk.send(Order::Compact(snapshot));
             }
         }
         news
@@ -282,6 +313,43 @@
         }
     }
 
+    /// Evacuates a zone, or takes that back. An order without a clear answer is sent again for `ack_ms` at
+    /// most: one that comes so soon after its like is the same, a later one is another, and each evacuation
+    /// holds the zone until it is taken back.
+    pub async fn drain(
+        &self,
+        zone: &str,
+        begin: bool,
+        within: Duration,
+    ) -> Result<Verdict, Unclear> {
+        let until = Instant::now() + within;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            if !self.leads() {
+                return Err(Unclear::NotLeader(self.leader()));
+            }
+            if left.is_zero() || !self.catch_up(left).await {
+                return Err(Unclear::NoMajority);
+            }
+            let command = {
+                let inner = self.inner.borrow();
+                let holds = inner.agreed.evacuated.get(zone).copied().unwrap_or(0);
+                let last = inner.drained.get(zone);
+                let again = Duration::from_millis(self.settings.bounds.ack_ms);
+                let same = last.is_some_and(|(b, at)| *b == begin && at.elapsed() < again);
+                if same || !begin && holds == 0 {
+                    return Ok(Verdict::AlreadyTaken);
+                }
+                Command::of_drain(zone, begin, inner.agreed.evacuated_index)
+            };
+            let left = until.saturating_duration_since(Instant::now());
+            match self.order(&command, left).await {
+                Ok(Verdict::Raced) => {}
+                verdict => return verdict,
+            }
+        }
+    }
+
     /// An order, through the log.
     pub async fn order(&self, command: &Command, within: Duration) -> Result<Verdict, Unclear> {
         let until = Instant::now() + within;
@@ -367,7 +435,7 @@
         }
         let peer = inner.peers.entry(at).or_insert_with(|| {
             let (to, queue) = mpsc::channel(PEER_QUEUE);
-            let _ = self.dial.send((at, queue));
+            let _ = self.ways.dial.send((at, queue));
             Peer { at: None, to, heard: None, sessions: Vec::new() }
         });
         if control.is_some() {
@@ -584,7 +652,7 @@
         }
         if agreed.evacuated_index > has.evacuated {
             has.evacuated = agreed.evacuated_index;
-            let zones = agreed.evacuated.iter().cloned().collect();
+            let zones = agreed.evacuated.keys().cloned().collect();
             news.evacuated = Some((agreed.evacuated_index, zones));
         }
         for (zone, z) in &inner.zones {
--- a/crates/control-plane/src/interface.rs
+++ b/crates/control-plane/src/interface.rs
@@ -77,13 +77,12 @@
                 if !self.cell.settings.zone_map.contains_key(zone) {
                     return fault(StatusCode::NOT_FOUND, &format!("no zone `{zone}`"));
                 }
-                let zone = zone.to_string();
-                let command = if begin.is_some() {
-                    Command::Evacuate { zone }
-                } else {
-                    Command::Return { zone }
-                };
-                self.order(path, &command).await
+                let verdict = self.cell.drain(zone, begin.is_some(), ORDER).await;
+                if matches!(verdict, Ok(Verdict::Taken | Verdict::AlreadyTaken)) {
+                    let holds = self.cell.agreed().evacuated.get(zone).copied().unwrap_or(0);
+                    return answer(StatusCode::OK, &json!({"zone": zone, "evacuations": holds}));
+                }
+                self.outcome(path, verdict)
             }
             _ => fault(StatusCode::NOT_FOUND, "no such call"),
         }
@@ -141,11 +140,12 @@
         };
         let command =
             if amend { Command::Amend { base, body } } else { Command::Replace { base, body } };
-        self.order(&path, &command).await
+        let verdict = self.cell.order(&command, ORDER).await;
+        self.outcome(&path, verdict)
     }
 
-    async fn order(&self, path: &str, command: &Command) -> Answer {
-        match self.cell.order(command, ORDER).await {
+    fn outcome(&self, path: &str, verdict: Result<Verdict, Unclear>) -> Answer {
+        match verdict {
             Ok(Verdict::Taken | Verdict::AlreadyTaken) => {
                 let rev = self.cell.agreed().rev;
                 answer(StatusCode::OK, &json!({"rev": rev}))
@@ -163,7 +163,7 @@
                 }
                 answer
             }
-            Err(Unclear::NotLeader(None) | Unclear::NoMajority) => {
+            Ok(Verdict::Raced) | Err(Unclear::NotLeader(None) | Unclear::NoMajority) => {
                 fault(StatusCode::SERVICE_UNAVAILABLE, "no majority of the control balancers")
             }
         }
--- a/crates/control-plane/src/run.rs
+++ b/crates/control-plane/src/run.rs
@@ -3,20 +3,22 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::hash::{BuildHasher, Hasher, RandomState};
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
-use agreement::{Members, NodeId};
+use agreement::{Members, NodeId, Stored};
 use data_plane::connections::Times;
 use data_plane::front::{Bounds, Front, Gate};
 use decisions::settings::stable_hash;
 use messages::settings::Settings;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
+use tokio::time::sleep;
 
-use crate::cell::Cell;
+use crate::cell::{Cell, Ways};
 use crate::interface::{Directory, Operators};
-use crate::store::Store;
+use crate::store::{AGAIN, Store, StoreError, set_aside};
 use crate::{peers, platform};
 
 /// Heads of calls are small.
@@ -28,21 +30,44 @@
 
 /// Who the disk makes of this machine. The founders are the seeds of the first start, the same at all; each
 /// knows the others' ids by their addresses. Whoever comes later, or comes back without its disk, is new.
-fn identity(store: &Store, settings: &Settings) -> Result<NodeId, String> {
-    if let Some(id) = store.identity().map_err(|e| e.to_string())? {
-        return Ok(id);
-    }
+fn found(store: &Store, settings: &Settings, again: bool) -> Result<(), StoreError> {
     let founder = |at: std::net::SocketAddr| stable_hash(&at.to_string());
     let mut founders = Members::default();
     let own = settings.listen.ctl;
     let mut id = RandomState::new().build_hasher().finish();
-    if settings.bootstrap && own.is_some_and(|own| settings.seeds.contains(&own)) {
+    if settings.bootstrap && !again && own.is_some_and(|own| settings.seeds.contains(&own)) {
         id = founder(settings.inner());
         let seeds = settings.seeds.iter().map(|s| settings.inner_of(*s));
         founders.voters = seeds.map(|at| (founder(at), at.to_string())).collect::<BTreeMap<_, _>>();
     }
-    store.found(id, &founders).map_err(|e| e.to_string())?;
-    Ok(id)
+    store.found(id, &founders)
+}
+
+/// What the disk holds; a machine that is new on it by then. Tried until the disk gives an answer.
+async fn stored(settings: &Settings, folder: &Path) -> Result<(Store, NodeId, Stored), String> {
+    let mut again = false;
+    loop {
+        let cause = match Store::start(folder) {
+            Ok((store, Some((id, stored)))) => return Ok((store, id, stored)),
+            Ok((store, None)) => match found(&store, settings, again) {
+                Ok(()) => continue,
+                Err(cause) => cause,
+            },
+            Err(cause) => cause,
+        };
+        if matches!(cause, StoreError::Format(..)) {
+            return Err(cause.to_string());
+        }
+        if cause.damaged() {
+            tracing::error!(%cause, "damaged: set aside, and this machine joins as a new member");
+            again = true;
+            if set_aside(folder).is_ok() {
+                continue;
+            }
+        }
+        tracing::warn!(%cause, "the disk refused; trying again");
+        sleep(AGAIN).await;
+    }
 }
 
 /// Serves until `stop`.
@@ -61,13 +86,16 @@
     let inner = bind("peers", Some(settings.inner())).await?;
     let operators = bind("ctl", settings.listen.ctl).await?;
     let directory = bind("dir", settings.listen.dir).await?;
-    let store = Store::open(&folder).map_err(|e| e.to_string())?;
-    let id = identity(&store, &settings)?;
-    let stored = store.load().map_err(|e| e.to_string())?;
+    tokio::pin!(stop);
+    let (store, id, stored) = tokio::select! {
+        stored = stored(&settings, &folder) => stored?,
+        () = &mut stop => return Ok(()),
+    };
     let (disk, saved) = store.serve().map_err(|e| format!("disk thread: {e}"))?;
     let (dial, wanted) = mpsc::unbounded_channel();
     let most = settings.limits.max_fds.saturating_sub(RESERVED).max(16) / 4;
-    let cell = Cell::new(settings, id, stored, disk, dial);
+    let (breaks, mut broken) = mpsc::unbounded_channel();
+    let cell = Cell::new(settings, id, stored, Ways { disk, dial, breaks });
     tracing::info!(node = cell.settings.node, id = format!("{id:016x}"), "control");
     tokio::task::spawn_local(peers::call_all(cell.clone(), wanted));
     tokio::task::spawn_local(cell.clone().keep_time());
@@ -100,7 +128,8 @@
         fronts.push(front(gate, bounds, listener, ended.clone()));
     }
     tokio::select! {
-        () = stop => {}
+        () = &mut stop => {}
+        why = broken.recv() => return Err(why.unwrap_or_default()),
         () = cell.clone().follow_disk(saved) => return Err("the disk failed".into()),
     }
     let _ = ending.send(true);
@@ -121,3 +150,33 @@
     };
     tokio::task::spawn_local(Front::new(gate, bounds).serve(listener, stop))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn a_machine_whose_file_is_damaged_joins_as_a_new_member() {
+        let folder = std::env::temp_dir().join(format!("shorefront-again-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        let text = r#"{"node": "n", "ip": "127.0.0.1", "zone": "a", "region": "r",
+            "zone_map": {"a": "r"}, "listen": {"ctl": "127.0.0.1:9"}, "port_range": [7000, 7010],
+            "seeds": ["127.0.0.1:9"], "bootstrap": true}"#;
+        let settings = Settings::parse(Path::new("boot.json"), text.as_bytes()).expect("good");
+        let (store, founder, first) = stored(&settings, &folder).await.expect("a new one");
+        let voters = |s: &Stored| s.snapshot.as_ref().map_or(0, |s| s.members.voters.len());
+        assert_eq!(voters(&first), 1);
+        drop(store);
+        let (store, same, _) = stored(&settings, &folder).await.expect("the same again");
+        assert_eq!(same, founder);
+        drop(store);
+        let file = folder.join("control.redb");
+        let mut bytes = std::fs::read(&file).expect("readable");
+        bytes[..16].fill(7);
+        std::fs::write(&file, bytes).expect("written");
+        let (_store, other, found) = stored(&settings, &folder).await.expect("a new one");
+        assert_ne!(other, founder, "under its old name it might vote twice");
+        assert_eq!(voters(&found), 0, "and it founds nothing");
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+}
