Elect a leader as soon as the members of a starting core reach each other

Cause: after a loss of power of all machines nothing was served for 1.5 s after the last process was up: members waited a whole election time-out (1-2 s) before they asked for votes, a dial to a machine that was still off hung for 1 s. Ruled out: the start of the processes (0.3 s) and the platform's list. Logs: leader, agreed, in force, upstreams.

--- a/crates/agreement/src/core.rs
+++ b/crates/agreement/src/core.rs
@@ -133,7 +133,7 @@
             joining: BTreeMap::new(),
             out: Output { restored, ..Output::default() },
         };
-        core.put_off();
+        core.ask_again();
         core
     }
 
@@ -218,10 +218,22 @@
         self.campaign = self.now + self.timing.election + spread;
     }
 
+    /// When to ask next whether votes would be given. Asking unseats nobody: who hears a leader does not
+    /// answer. So a member that has just started, or was not heard, asks sooner than it would give a leader
+    /// up, and a core that starts as a whole has a leader as soon as its members reach each other.
+    fn ask_again(&mut self) {
+        let beat = self.timing.heartbeat.max(1);
+        self.campaign = self.now + beat + self.rng.rand_range(0..beat);
+    }
+
     // -------------------------------------------------------------- election
 
     fn stand(&mut self, pre: bool) {
-        self.put_off();
+        if pre {
+            self.ask_again();
+        } else {
+            self.put_off();
+        }
         if !self.members().voters.contains_key(&self.id) {
             return;
         }
--- a/crates/control-plane/src/cell.rs
+++ b/crates/control-plane/src/cell.rs
@@ -14,7 +14,7 @@
 use messages::wire::{Bank, Control, News, Session, Tell, Upstream};
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::configuration::{Agreed, Command, Verdict};
@@ -40,6 +40,7 @@
 struct Peer {
     at: Option<Control>,
     to: mpsc::Sender<Tell>,
+    called: Rc<Notify>,
     heard: Option<Instant>,
     sessions: Vec<Session>,
 }
@@ -76,11 +77,20 @@
     }
 }
 
+/// A peer to be called.
+pub struct Wanted {
+    pub at: SocketAddr,
+    /// What it is to be told.
+    pub queue: mpsc::Receiver<Tell>,
+    /// Wakes when it has called itself.
+    pub called: Rc<Notify>,
+}
+
 /// Where a cell's own words go.
 pub struct Ways {
     pub disk: disk::Sender<Order>,
     /// Peers to be dialled.
-    pub dial: mpsc::UnboundedSender<(SocketAddr, mpsc::Receiver<Tell>)>,
+    pub dial: mpsc::UnboundedSender<Wanted>,
     /// Why this member can't go on.
     pub breaks: mpsc::UnboundedSender<String>,
 }
@@ -95,6 +105,8 @@
     next_read: u64,
     peers: BTreeMap<SocketAddr, Peer>,
     ids: FxHashMap<NodeId, SocketAddr>,
+    /// Who led when it was last written down.
+    led: Option<NodeId>,
     local: BTreeMap<String, (u64, Session)>,
     zones: BTreeMap<String, Zone>,
     /// Each zone's last order: whether it evacuated, and when it was applied here.
@@ -144,6 +156,7 @@
                 next_read: 0,
                 peers: BTreeMap::new(),
                 ids: FxHashMap::default(),
+                led: None,
                 local: BTreeMap::new(),
                 zones: BTreeMap::new(),
                 drained: FxHashMap::default(),
@@ -204,6 +217,17 @@
         let mut inner = self.inner.borrow_mut();
         let result = act(&mut inner.core);
         let out = inner.core.take();
+        let status = inner.core.status();
+        if status.leader != inner.led {
+            inner.led = status.leader;
+            let leader = status.leader.map(|id| format!("{id:016x}")).unwrap_or_default();
+            tracing::info!(
+                leader,
+                term = status.term,
+                own = status.leader == Some(self.id),
+                "leader"
+            );
+        }
         let news = self.carry_out(&mut inner, out);
         drop(inner);
         if news {
@@ -250,6 +274,10 @@
                         Err(e) => Verdict::Invalid(e.to_string()),
                     };
                     news |= verdict == Verdict::Taken;
+                    if news {
+                        let (rev, evacuated) = (inner.agreed.rev, &inner.agreed.evacuated);
+                        tracing::info!(index = entry.index, rev, ?evacuated, "agreed");
+                    }
                     if let (Verdict::Taken, Some(drain)) = (&verdict, drain) {
                         inner.drained.insert(drain.0, (drain.1, Instant::now()));
                     }
@@ -435,8 +463,9 @@
         }
         let peer = inner.peers.entry(at).or_insert_with(|| {
             let (to, queue) = mpsc::channel(PEER_QUEUE);
-            let _ = self.ways.dial.send((at, queue));
-            Peer { at: None, to, heard: None, sessions: Vec::new() }
+            let called = Rc::new(Notify::new());
+            let _ = self.ways.dial.send(Wanted { at, queue, called: called.clone() });
+            Peer { at: None, to, called, heard: None, sessions: Vec::new() }
         });
         if control.is_some() {
             peer.at = control;
@@ -457,7 +486,11 @@
     pub fn called(&self, id: NodeId, control: Control) {
         let mut inner = self.inner.borrow_mut();
         inner.ids.insert(id, control.inner);
-        self.meet_in(&mut inner, control.inner, Some(control));
+        let at = control.inner;
+        self.meet_in(&mut inner, at, Some(control));
+        if let Some(peer) = inner.peers.get(&at) {
+            peer.called.notify_waiters();
+        }
     }
 
     /// A control balancer has said something.
--- a/crates/control-plane/src/peers.rs
+++ b/crates/control-plane/src/peers.rs
@@ -2,7 +2,6 @@
 //! its own call only; data-plane balancers call control balancers and ask for news.
 
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,45 +13,53 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::cell::{Cell, TELL};
+use crate::cell::{Cell, TELL, Wanted};
 
 /// A frame that is not taken for so long is not taken any more.
 const WRITE: Duration = Duration::from_millis(2000);
 /// The first frame comes at once.
 const HELLO: Duration = Duration::from_millis(2000);
 /// Between two calls to a peer that does not answer.
-const AGAIN: Duration = Duration::from_millis(500);
+const AGAIN: Duration = Duration::from_millis(200);
 /// A balancer that opens its session is told only what a majority confirms; where there is none for so
 /// long, what is known here: it is out of touch with the core then, and better serves than not.
 const CONFIRM: Duration = Duration::from_millis(4000);
 
 /// Calls the peers that the cell wants called.
-pub async fn call_all(
-    cell: Rc<Cell>,
-    mut wanted: mpsc::UnboundedReceiver<(SocketAddr, mpsc::Receiver<Tell>)>,
-) {
-    while let Some((at, queue)) = wanted.recv().await {
-        tokio::task::spawn_local(call(cell.clone(), at, queue));
+pub async fn call_all(cell: Rc<Cell>, mut wanted: mpsc::UnboundedReceiver<Wanted>) {
+    while let Some(wanted) = wanted.recv().await {
+        tokio::task::spawn_local(call(cell.clone(), wanted));
     }
 }
 
-async fn call(cell: Rc<Cell>, at: SocketAddr, mut queue: mpsc::Receiver<Tell>) {
+async fn call(cell: Rc<Cell>, mut wanted: Wanted) {
     loop {
-        if let Err(cause) = speak(&cell, at, &mut queue).await {
-            tracing::debug!(%at, %cause, "peer");
+        // Its own call shows that it is there: no use in waiting for an old one of ours.
+        let dialled = tokio::select! {
+            dialled = dial(wanted.at) => dialled,
+            () = wanted.called.notified() => continue,
+        };
+        let ended = match dialled {
+            Ok(stream) => speak(&cell, stream, &mut wanted.queue).await,
+            Err(cause) => Err(cause),
+        };
+        if let Err(cause) = ended {
+            tracing::debug!(at = %wanted.at, %cause, "peer");
         }
         // What waits by now is old; the log and the cells tell it anew.
-        while queue.try_recv().is_ok() {}
-        sleep(AGAIN).await;
+        while wanted.queue.try_recv().is_ok() {}
+        tokio::select! {
+            () = sleep(AGAIN) => {}
+            () = wanted.called.notified() => {}
+        }
     }
 }
 
 async fn speak(
     cell: &Rc<Cell>,
-    at: SocketAddr,
+    stream: TcpStream,
     queue: &mut mpsc::Receiver<Tell>,
 ) -> io::Result<()> {
-    let stream = dial(at).await?;
     // An end from the other side is noticed by reading: nothing else ever comes.
     let (mut reader, writer) = stream.into_split();
     let mut writer = BufWriter::new(writer);
--- a/crates/data-plane/src/engine.rs
+++ b/crates/data-plane/src/engine.rs
@@ -452,7 +452,10 @@
         let clock = self.clock;
         let members =
             known.upstreams.update(list, kind, &self.pool, &mut self.next_upstream, clock);
-        self.ready.set(self.services.iter().any(|s| s.upstreams.any_open()));
+        let ready = self.services.iter().any(|s| s.upstreams.any_open());
+        if self.ready.replace(ready) != ready {
+            tracing::info!(ready, "upstreams");
+        }
         self.tell(service, Event::Members { kind, list: &members });
         self.services[service].upstreams.forget(&self.pool);
     }
--- a/crates/data-plane/src/routes.rs
+++ b/crates/data-plane/src/routes.rs
@@ -137,6 +137,7 @@
                 return;
             }
         };
+        tracing::info!(rev = config.rev, index, routes = config.routes.len(), "in force");
         {
             let mut services = self.services.borrow_mut();
             for s in &config.services {
--- a/crates/data-plane/src/watch.rs
+++ b/crates/data-plane/src/watch.rs
@@ -22,8 +22,9 @@
 pub const BEAT: Duration = Duration::from_millis(1000);
 /// Without a word for so long, the other side is not there.
 pub const SILENCE: Duration = Duration::from_millis(2500);
-/// A connection that does not come up within this does not.
-const CONNECT: Duration = Duration::from_millis(1000);
+/// A connection that does not come up within this, longer than a round trip takes anywhere, is tried anew: a
+/// machine that was without power a moment ago has dropped the opening packet.
+const CONNECT: Duration = Duration::from_millis(400);
 /// Sessions at the same time.
 const SESSIONS: usize = 2;
 /// A control balancer that failed is called again before others only after this.
