Leave silent upstreams out of the sums; give late repeats no place in the queue

Change: two attempts in a row unanswered or out of reach: out of the sums (told slots) with what is in flight there, one request at a time; a repeat whose aim has passed takes a free slot or is refused. Tests: decisions/tests/told.rs.

--- a/crates/decisions/src/policy/attempts.rs
+++ b/crates/decisions/src/policy/attempts.rs
@@ -54,11 +54,8 @@
     /// The one place that says whether a request may be refused.
     pub(super) fn may_refuse(&self, e: &Entry) -> bool {
         let class = &self.settings.classes[e.class];
-        match class.effect {
-            Effect::Safe => true,
-            Effect::Unsafe => e.all_never_ran(),
-            Effect::Keyed => class.group == Group::All || e.all_never_ran(),
-        }
+        let anywhere = class.effect == Effect::Keyed && class.group == Group::All;
+        class.effect == Effect::Safe || anywhere || e.all_never_ran()
     }
 
     pub(super) fn outcome(&mut self, now: Time, a: Answer, out: &mut Vec<Action>) {
@@ -113,14 +110,16 @@
         match a.outcome {
             Outcome::Full | Outcome::ConnectFailed => {
                 s.breaker.trip(now, self.fleet.ts * PAUSE_OF_TS, PAUSE_DOUBLINGS);
+                s.silent += u32::from(a.outcome == Outcome::ConnectFailed);
             }
             Outcome::Ok => {
                 s.answered = s.answered.max(attempt.sent);
-                s.breaker.faults = 0;
+                (s.breaker.faults, s.silent) = (0, 0);
                 s.by_class[class] = Breaker::default();
             }
             Outcome::Error | Outcome::Timeout | Outcome::Reset if !attempt.overdue => {
                 s.by_class[class].trip(now, mean, CLASS_DOUBLINGS);
+                s.silent += 1;
             }
             _ => {}
         }
@@ -204,6 +203,7 @@
                 let mean = self.fleet.mean[class].max(1.0);
                 s.est.learn(Outcome::Timeout, now.since(a.sent).f(), mean);
                 s.by_class[class].trip(now, mean, CLASS_DOUBLINGS);
+                s.silent += 1;
             }
             if again {
                 self.extra -= 1.0;
--- a/crates/decisions/src/policy/dispatch.rs
+++ b/crates/decisions/src/policy/dispatch.rs
@@ -29,7 +29,7 @@
         let s = &mut self.servers[server];
         s.in_flight = s.in_flight.saturating_add_signed(change);
         for r in 0..self.rooms.len() {
-            if self.open_to(self.rooms[r].class, &self.servers[server]) {
+            if self.counts(&self.rooms[r], &self.servers[server]) {
                 let n = &mut self.rooms[r].in_flight;
                 *n = n.saturating_add_signed(change as isize);
             }
@@ -92,8 +92,10 @@
             let s = &self.servers[i];
             let trial = if full { s.trial } else { s.trial.min(0) };
             let load = f64::from(s.in_flight) + self.others(now, s);
+            // Failure: in overload all that found no slot elsewhere went to the upstreams of a lost zone.
+            let most = if s.silent >= SILENT { 1 } else { self.k(s, trial) };
             // Failure: a proxy at its limit sent on trial to upstreams that it had left idle as slow.
-            if load >= f64::from(self.k(s, trial)) || (full && s.in_flight < self.k(s, 0)) {
+            if load >= f64::from(most) || (full && s.in_flight < self.k(s, 0)) {
                 continue;
             }
             let shut = now < s.by_class[e.class].until && !self.panic[e.class];
--- a/crates/decisions/src/policy/estimates.rs
+++ b/crates/decisions/src/policy/estimates.rs
@@ -196,13 +196,9 @@
     }
 
     pub(super) fn refresh_fleet(&mut self, now: Time) {
-        let (mut tp2, mut seen) = (0.0, 0.0);
-        for t in self.servers.iter().filter_map(|s| s.est.tp2) {
-            tp2 += t;
-            seen += 1.0;
-        }
-        if seen > 0.0 {
-            self.fleet.tp2 = tp2 / seen;
+        let tp2: Vec<f64> = self.servers.iter().filter_map(|s| s.est.tp2).collect();
+        if !tp2.is_empty() {
+            self.fleet.tp2 = tp2.iter().sum::<f64>() / tp2.len() as f64;
         }
         let shut = |c: usize| {
             let open = |i: &&usize| self.open_to(Some(c), &self.servers[**i]);
@@ -213,14 +209,19 @@
         };
         self.panic = (0..self.room_of.len()).map(shut).collect();
         for r in 0..self.rooms.len() {
+            // Failure: the sums counted a lost zone for as long as the list did, and queues outgrew the aim.
             let class = self.rooms[r].class;
             let live = |s: &&Server| s.status == Status::Live && self.open_to(class, s);
+            let heard = |s: &Server| s.silent < SILENT;
+            self.rooms[r].silent = !self.servers.iter().filter(live).any(heard);
+            let live = |s: &&Server| s.status == Status::Live && self.counts(&self.rooms[r], s);
             let sum = |(k, n), s: &Server| (k + self.k_exact(s), n + self.n_rate(s));
             let (k, n) = self.servers.iter().filter(live).fold((0.0, 0.0), sum);
             let even = k * self.fleet.leeway / f64::from(self.settings.balancers);
             let part = ((even + BURST * even.sqrt()) / k.max(1.0)).min(1.0);
             (self.rooms[r].slots, self.rooms[r].n_per_time) = (k * part, n * part);
         }
+        self.count_rooms();
         let (order, servers) = (&mut self.order, &self.servers);
         let cost = |i: usize| (NEAR + servers[i].reach) * servers[i].est.slow * servers[i].est.slow;
         order.sort_by(|&a, &b| cost(a).total_cmp(&cost(b)));
--- a/crates/decisions/src/policy/members.rs
+++ b/crates/decisions/src/policy/members.rs
@@ -38,7 +38,6 @@
             }
         }
         self.forget(now);
-        self.count_rooms();
         self.draw_parts();
         self.refresh_warm(now);
         self.refresh_fleet(now);
@@ -47,11 +46,16 @@
 
     pub(super) fn count_rooms(&mut self) {
         for r in 0..self.rooms.len() {
-            let open = self.servers.iter().filter(|s| self.open_to(self.rooms[r].class, s));
-            self.rooms[r].in_flight = open.map(|s| s.in_flight as usize).sum();
+            let counted = self.servers.iter().filter(|s| self.counts(&self.rooms[r], s));
+            self.rooms[r].in_flight = counted.map(|s| s.in_flight as usize).sum();
         }
     }
 
+    /// Whether an upstream is in a room's sums: not if silent beside others. Learned slots have followed.
+    pub(super) fn counts(&self, room: &Room, s: &Server) -> bool {
+        (s.slots == 0 || s.silent < SILENT || room.silent) && self.open_to(room.class, s)
+    }
+
     /// Drops upstreams that are gone, unless a request was sent there: whether it may be repeated elsewhere
     /// is judged by them. Failure: where machines come and go, all there ever were stayed on every walk.
     pub(super) fn forget(&mut self, now: Time) {
@@ -124,6 +128,7 @@
                 status: m.status,
                 weight: 1.0,
                 slots: 0,
+                silent: 0,
                 started: None,
                 identity: m.identity,
                 in_flight: 0,
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -51,6 +51,8 @@
 const HOLD_OF_AIM: f64 = 0.7;
 /// Part of the bearable wait that the class of least worth for its work may use.
 const LEAST_PART: f64 = 0.2;
+/// An upstream that failed so many in a row leaves the sums of K_i and N_i: one may have been a heavy one.
+const SILENT: u32 = 2;
 /// A class that asks for less than this share of what another does can't fill the queue of both.
 const RIVAL: f64 = 0.1;
 /// An upstream this many times slower than the mean is a suspect.
@@ -195,19 +197,11 @@
         self.t_qos = settings.t_qos();
         (self.rooms, self.room_of) = settings.rooms();
         self.panic.resize(classes, false);
-        let f = &mut self.fleet;
-        for per_class in [&mut f.mean, &mut f.dev, &mut f.share, &mut f.hopeless, &mut f.part] {
-            per_class.resize(classes, 0.0);
-        }
+        self.fleet.resize(classes);
         self.servers.iter_mut().for_each(|s| s.by_class.resize(classes, Breaker::default()));
         self.settings = settings;
-        for e in self.requests.values().filter(|e| e.held) {
-            let own = self.room_of[e.class];
-            for (r, room) in self.rooms.iter_mut().enumerate() {
-                room.queued += usize::from(r == 0 || r == own);
-            }
-        }
-        self.count_rooms();
+        let held: Vec<_> = self.requests.values().filter(|e| e.held).map(|e| e.class).collect();
+        held.into_iter().for_each(|class| self.count_queued(class, 1));
         self.draw_parts();
         self.refresh_fleet(now);
         Ok(())
@@ -223,8 +217,8 @@
             Event::Request(r) => self.request(now, r, out),
             Event::Answered(a) => self.outcome(now, a, out),
             Event::Started(id) | Event::Left(id) => self.end(id),
-            Event::Timer(token) => self.timer(now, token, out),
-            Event::Probed { .. } => {}
+            Event::Timer(SWEEP) => self.sweep(now, out),
+            Event::Timer(_) | Event::Probed { .. } => {}
         }
     }
 
@@ -242,10 +236,7 @@
         out.push(Action::Arm { token: SWEEP, at: now.plus(self.settings.sweep_every()) });
     }
 
-    fn timer(&mut self, now: Time, token: u64, out: &mut Vec<Action>) {
-        if token != SWEEP {
-            return;
-        }
+    fn sweep(&mut self, now: Time, out: &mut Vec<Action>) {
         self.watch(now);
         self.refresh_warm(now);
         self.refresh_lanes(now);
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -63,6 +63,8 @@
     pub(crate) class: Option<usize>,
     pub(crate) queued: usize,
     pub(crate) in_flight: usize,
+    /// Whether all its upstreams are silent: then none is left out for it.
+    pub(crate) silent: bool,
     /// This proxy's part of the sum of K_i, and of the sum of 1 / (2*TP_i + TS_i), over live upstreams.
     pub(crate) slots: f64,
     pub(crate) n_per_time: f64,
@@ -126,6 +128,8 @@
     /// Turned away or out of reach; and, class by class, unanswered or in error.
     pub(crate) breaker: Breaker,
     pub(crate) by_class: Vec<Breaker>,
+    /// Attempts in a row that found it out of reach or that it left unanswered.
+    pub(crate) silent: u32,
     /// When the latest-sent of its answered attempts was sent.
     pub(crate) answered: Time,
     pub(crate) est: Estimate,
@@ -154,6 +158,8 @@
     pub(crate) share: Vec<f64>,
     /// Share of the attempts for which the time of a second copy came and that were never answered.
     pub(crate) hopeless: Vec<f64>,
+    /// The longest time that clients still have as their requests come: that of a first try.
+    pub(crate) longest: Vec<f64>,
     /// The longest wait that each class can bear, and the part of it that a class may use.
     pub(crate) bearable: f64,
     pub(crate) part: Vec<f64>,
@@ -182,6 +188,7 @@
             dev: vec![0.0; classes],
             share: vec![0.0; classes],
             hopeless: vec![0.0; classes],
+            longest: vec![0.0; classes],
             bearable: ts,
             part: vec![1.0; classes],
             lanes: vec![Lanes::new()],
@@ -194,6 +201,16 @@
     }
 }
 
+impl Fleet {
+    /// Makes room for more classes, of which nothing is known.
+    pub(crate) fn resize(&mut self, classes: usize) {
+        let known = [&mut self.mean, &mut self.dev, &mut self.share, &mut self.hopeless];
+        for per_class in known.into_iter().chain([&mut self.longest, &mut self.part]) {
+            per_class.resize(classes, 0.0);
+        }
+    }
+}
+
 impl Entry {
     pub(crate) fn out(&self) -> bool {
         self.attempts.iter().any(|a| a.fate == Fate::Out)
--- a/crates/decisions/tests/told.rs
+++ b/crates/decisions/tests/told.rs
@@ -161,3 +161,61 @@
     };
     assert_eq!(refused(true), refused(false));
 }
+
+/// A host whose upstreams 0 and 1 run two each, where 1 has left two requests in a row unanswered.
+fn with_a_silent_one() -> Host {
+    let mut host = Host::new(settings(), &[told(0, 2, 0), told(1, 2, 0)]);
+    let mut failed = 0;
+    while failed < 2 {
+        let (id, server) = host.ask(0);
+        let server = server.expect("a free slot");
+        if server == ServerId(1) {
+            failed += 1;
+            host.now = host.now.plus(Span(400 * MS));
+            let lost = Answer::new(id, 0, server, Outcome::ConnectFailed, Span(400 * MS), true);
+            host.tell(Event::Answered(lost));
+            host.now = host.now.plus(Span(2000 * MS));
+        } else {
+            host.answer(id, server, 2.0);
+        }
+        host.tell(Event::Timer(1));
+        assert!(host.next < 100, "the other one is never asked");
+    }
+    host
+}
+
+#[test]
+fn an_upstream_that_is_out_of_reach_leaves_the_sums_and_gets_one_request_at_a_time() {
+    let whole = Host::new(settings(), &[told(0, 2, 0), told(1, 2, 0)]);
+    let half = Host::new(settings(), &[told(0, 2, 0)]);
+    let mut host = with_a_silent_one();
+    let holds = |mut host: Host| {
+        let sent: Vec<Option<ServerId>> = (0..40).map(|_| host.ask(0).1).collect();
+        sent.into_iter().flatten().fold([0, 0], |mut n, s| {
+            n[s.0 as usize] += 1;
+            n
+        })
+    };
+    assert_eq!(holds(whole), [2, 2]);
+    assert_eq!(holds(half), [2, 0]);
+    host.now = host.now.plus(Span(60_000 * MS));
+    host.tell(Event::Timer(1));
+    let sent = holds(host);
+    assert_eq!(sent[0], 2);
+    assert!(sent[1] <= 1, "its slots are not known to be there: {sent:?}");
+}
+
+#[test]
+fn a_repeat_that_is_late_already_takes_a_free_slot_but_no_place_in_the_queue() {
+    let mut host = Host::new(settings(), &[told(0, 2, 0)]);
+    let refused = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Refuse { .. }));
+    let mut come = |left: i64| {
+        host.next += 1;
+        let request = Request::new(RequestId(host.next), 0, host.now.plus(Span(left * MS)));
+        refused(&host.tell(Event::Request(request)))
+    };
+    let [whole, late] = [3000, 600];
+    assert!(!come(whole) && !come(late), "both have a slot");
+    assert!(come(late), "its aim has passed while its client tried");
+    assert!(!come(whole), "a first try may wait");
+}
