Throw hostile requests at the whole path: each gets an error or a close, none gets on

Two lengths, codings beside lengths, broken and endless chunks, folded lines, NUL, no or two hosts, an authority, heads and bodies over the limits, slow heads, cut bodies, pipelining.

--- a/crates/shorefront/tests/whole_path.rs
+++ b/crates/shorefront/tests/whole_path.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Output};
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -125,66 +126,208 @@
     folder
 }
 
-#[test]
-fn a_request_is_served_a_route_moves_and_the_configuration_outlives_its_keeper() {
-    let folder = folder("path");
-    let upstream = stand_in(|_, head| {
-        // Each request says whom it is meant for.
-        let target = head.lines().find_map(|l| l.strip_prefix("target-instance: "));
-        format!("from {}", target.unwrap_or("nobody"))
-    });
-    let platform = stand_in(move |_, _| {
-        let instance = |id: &str, svc: &str| {
-            json!({"id": id, "svc": svc, "addr": upstream, "zone": "a", "slots": 2,
-                "state": "ready", "warm_left_ms": 0})
+/// A control balancer and a data-plane balancer, with what they need around them.
+struct System {
+    folder: PathBuf,
+    ctl: SocketAddr,
+    http: SocketAddr,
+    ready: SocketAddr,
+    settings: Box<dyn Fn(bool, Value) -> Value>,
+    keeper: Option<Process>,
+    _edge: Process,
+    /// First lines of what the upstream was sent.
+    seen: Arc<Mutex<Vec<String>>>,
+}
+
+impl System {
+    fn start(name: &str) -> Self {
+        let folder = folder(name);
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let upstream = stand_in({
+            let seen = seen.clone();
+            move |first, head| {
+                seen.lock().expect("whole").push(first.trim_end().to_string());
+                // Each request says whom it is meant for.
+                let target = head.lines().find_map(|l| l.strip_prefix("target-instance: "));
+                format!("from {}", target.unwrap_or("nobody"))
+            }
+        });
+        let platform = stand_in(move |_, _| {
+            let instance = |id: &str, svc: &str| {
+                json!({"id": id, "svc": svc, "addr": upstream, "zone": "a", "slots": 2,
+                    "state": "ready", "warm_left_ms": 0})
+            };
+            let list = [instance("i-1", "one"), instance("i-2", "two")];
+            json!({"instances": list, "next_token": null}).to_string()
+        });
+        let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+        let (ctl, http, ready) = (at(free_port()), at(free_port()), at(free_port()));
+        let (inner, data) = (free_port(), folder.join("data"));
+        let settings = move |bootstrap: bool, listen: Value| {
+            json!({"node": "edge-1", "ip": "127.0.0.1", "zone": "a", "region": "r",
+                "zone_map": {"a": "r"}, "listen": listen, "port_range": [inner, inner],
+                "seeds": [ctl], "bootstrap": bootstrap, "data_dir": data,
+                "cloud_api": {"addr": platform}})
         };
-        let list = [instance("i-1", "one"), instance("i-2", "two")];
-        json!({"instances": list, "next_token": null}).to_string()
-    });
-    let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
-    let (ctl, http, ready, inner) = (free_port(), free_port(), free_port(), free_port());
-    let settings = |bootstrap: bool, listen: Value| {
-        json!({"node": "edge-1", "ip": "127.0.0.1", "zone": "a", "region": "r",
-            "zone_map": {"a": "r"}, "listen": listen, "port_range": [inner, inner],
-            "seeds": [at(ctl)], "bootstrap": bootstrap, "data_dir": folder.join("data"),
-            "cloud_api": {"addr": platform}})
-    };
-    let control =
-        |first: bool| start(&folder, "control", &settings(first, json!({"ctl": at(ctl)})));
-    let mut keeper = control(true);
-    let listen = json!({"http": at(http), "readiness": at(ready)});
-    let _edge = start(&folder, "data-plane", &settings(true, listen));
+        let keeper = start(&folder, "control", &settings(true, json!({"ctl": ctl})));
+        let listen = json!({"http": http, "readiness": ready});
+        let edge = start(&folder, "data-plane", &settings(true, listen));
+        let (settings, keeper) = (Box::new(settings), Some(keeper));
+        Self { folder, ctl, http, ready, settings, keeper, _edge: edge, seen }
+    }
+
+    fn put(&self, base: u64, body: &Value) -> Option<u16> {
+        post(self.ctl, "/-/Config.Replace", base, body).map(|a| a.0)
+    }
+}
 
+impl Drop for System {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// What a raw client is answered until the balancer closes, which it must do soon.
+fn raw(at: SocketAddr, sent: &[u8]) -> String {
+    let mut stream = TcpStream::connect(at).expect("reachable");
+    stream.set_read_timeout(Some(SOON)).expect("set");
+    let _ = stream.write_all(sent);
+    let mut answer = Vec::new();
+    let mut part = [0; 4096];
+    loop {
+        match stream.read(&mut part) {
+            Ok(0) => break,
+            Ok(n) => answer.extend_from_slice(&part[..n]),
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => break,
+            Err(e) => panic!("not closed within {SOON:?}: {e}"),
+        }
+    }
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[test]
+fn hostile_requests_get_a_clear_error_or_a_close_and_reach_no_upstream() {
+    let system = System::start("hostile");
+    let config = json!({"rev": 5, "services": [{"name": "one"}],
+        "routes": [{"name": "r", "host": "h", "path_prefix": "/p/", "type": "idempotent",
+            "deadline_ms": 5000, "target_ms": 1000, "svc": "one", "tries": 2}],
+        "limits": {"max_header_bytes": 8192, "max_body_bytes": 1000,
+            "header_timeout_ms": 700, "idle_timeout_ms": 1500}});
+    wait("the configuration", || system.put(0, &config).filter(|s| *s == 200));
+    wait("readiness", || get(system.ready, "r", "/-/ready").filter(|a| a.0 == 200));
+    let head = "Host: h\r\nAttempt-Id: 1\r\nDeadline-Ms: 4000\r\n";
+    let evil = format!("GET /p/evil HTTP/1.1\r\n{head}\r\n");
+    let post = |more: &str, body: &str| format!("POST /p/x HTTP/1.1\r\n{head}{more}\r\n{body}");
+    let long = "x".repeat(20_000);
+    // What is sent, and what the answer's status may be; an empty one is a close without a word.
+    let cases: Vec<(&str, String, &[&str])> = vec![
+        ("two lengths", post("Content-Length: 4\r\nContent-Length: 5\r\n", "abcde"), &["400"]),
+        ("a length that is none", post("Content-Length: 4x\r\n", "abcd"), &["400"]),
+        ("an unknown coding", post("Transfer-Encoding: xchunked\r\n", &evil), &["400", "501"]),
+        (
+            "chunked not last",
+            post("Transfer-Encoding: chunked, identity\r\n", &format!("0\r\n\r\n{evil}")),
+            &["400", "501"],
+        ),
+        (
+            "a broken chunk",
+            post("Transfer-Encoding: chunked\r\n", &format!("zz\r\n{evil}")),
+            &["400"],
+        ),
+        (
+            "a chunk too long to count",
+            post("Transfer-Encoding: chunked\r\n", "fffffffffffffffff\r\nabc"),
+            &["400"],
+        ),
+        ("a folded line", post("X: a\r\n folded: b\r\n", ""), &["400"]),
+        ("a space before the colon", post("X : a\r\n", ""), &["400"]),
+        ("a NUL in a name", post("X\0: a\r\n", ""), &["400"]),
+        ("no host", "GET /p/x HTTP/1.1\r\nAttempt-Id: 1\r\n\r\n".into(), &["400"]),
+        ("two hosts", format!("GET /p/x HTTP/1.1\r\nHost: i\r\n{head}\r\n"), &["400"]),
+        ("an authority", format!("GET http://h/p/x HTTP/1.1\r\n{head}\r\n"), &["400"]),
+        ("no HTTP", "\x16\x03\x01\x02\x00\x01\r\n\r\n".into(), &["400"]),
+        ("a head too long", post(&format!("X: {long}\r\n"), ""), &["431"]),
+        ("a body too long", post("Content-Length: 1001\r\n", &long[..1001]), &["413"]),
+        (
+            "chunks too long",
+            post(
+                "Transfer-Encoding: chunked\r\n",
+                &format!("3ff\r\n{}\r\n0\r\n\r\n", &long[..1023]),
+            ),
+            &["413"],
+        ),
+        (
+            "a deadline that is none",
+            format!("GET /p/x HTTP/1.1\r\nHost: h\r\nDeadline-Ms: soon\r\n\r\n"),
+            &["400"],
+        ),
+        ("a head that never ends", format!("GET /p/x HTTP/1.1\r\n{head}"), &["408", ""]),
+    ];
+    for (what, sent, statuses) in &cases {
+        let answer = raw(system.http, sent.as_bytes());
+        let status = answer.split(' ').nth(1).unwrap_or("");
+        assert!(statuses.contains(&status), "{what}: {answer:?}");
+    }
+    // A body that its client cuts short.
+    let mut cut = TcpStream::connect(system.http).expect("reachable");
+    cut.write_all(post("Content-Length: 10\r\n", "abc").as_bytes()).expect("sent");
+    cut.shutdown(std::net::Shutdown::Write).expect("shut");
+    cut.set_read_timeout(Some(SOON)).expect("set");
+    let mut answer = String::new();
+    let _ = cut.read_to_string(&mut answer);
+    assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 400"), "{answer:?}");
+    let seen = || system.seen.lock().expect("whole").clone();
+    assert_eq!(seen(), Vec::<String>::new(), "nothing of that was for an upstream");
+
+    // A length beside a coding: the coding counts, and nothing behind it is a request.
+    let both = post("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n");
+    let answer = raw(system.http, format!("{both}{evil}").as_bytes());
+    assert_eq!(answer.matches("HTTP/1.1 ").count(), 1, "{answer:?}");
+    assert!(!seen().iter().any(|l| l.contains("evil")), "smuggled: {:?}", seen());
+
+    // Pipelined requests are answered in their order, each once.
+    let next = |n: u32, more: &str| format!("GET /p/{n} HTTP/1.1\r\n{head}{more}\r\n");
+    let line = [next(1, ""), next(2, ""), next(3, "Connection: close\r\n")].concat();
+    let answer = raw(system.http, line.as_bytes());
+    assert_eq!(answer.matches("HTTP/1.1 200").count(), 3, "{answer:?}");
+    let last: Vec<String> = seen().into_iter().filter(|l| l.starts_with("GET /p/")).collect();
+    assert_eq!(last, ["GET /p/1 HTTP/1.1", "GET /p/2 HTTP/1.1", "GET /p/3 HTTP/1.1"]);
+}
+
+#[test]
+fn a_request_is_served_a_route_moves_and_the_configuration_outlives_its_keeper() {
+    let mut system = System::start("path");
+    let (ctl, http, ready) = (system.ctl, system.http, system.ready);
     let config = |rev: u64, svc: &str| {
         json!({"rev": rev, "services": [{"name": "one"}, {"name": "two"}],
             "routes": [{"name": "r", "host": "h.example", "path_prefix": "/p/", "type": "idempotent",
                 "deadline_ms": 5000, "target_ms": 1000, "svc": svc, "tries": 2}]})
     };
-    let put = |base, body: &Value| post(at(ctl), "/-/Config.Replace", base, body).map(|a| a.0);
+    let put = |base, body: &Value| post(ctl, "/-/Config.Replace", base, body).map(|a| a.0);
     wait("the first configuration", || put(0, &config(5, "one")).filter(|s| *s == 200));
     assert_eq!(put(0, &config(5, "one")), Some(200), "sent again unchanged");
     assert_eq!(put(0, &config(6, "two")), Some(412), "on a version that is not in place");
     assert_eq!(put(5, &config(6, "three")), Some(400), "a service that nobody knows");
 
-    wait("readiness", || get(at(ready), "r", "/-/ready").filter(|a| a.0 == 200));
-    assert_eq!(get(at(http), "h.example", "/p/x"), Some((200, "from i-1".into())));
-    assert_eq!(get(at(http), "h.example", "/q/").map(|a| a.0), Some(404));
+    wait("readiness", || get(ready, "r", "/-/ready").filter(|a| a.0 == 200));
+    assert_eq!(get(http, "h.example", "/p/x"), Some((200, "from i-1".into())));
+    assert_eq!(get(http, "h.example", "/q/").map(|a| a.0), Some(404));
 
     assert_eq!(put(5, &config(8, "two")), Some(200));
-    let moved = || get(at(http), "h.example", "/p/x").filter(|a| a.1 == "from i-2");
+    let moved = || get(http, "h.example", "/p/x").filter(|a| a.1 == "from i-2");
     wait("the moved route", moved);
 
     // Killed outright, it comes back with what it acknowledged; traffic goes on meanwhile.
+    let mut keeper = system.keeper.take().expect("there");
     keeper.0.kill().expect("killed");
     keeper.0.wait().expect("gone");
-    assert_eq!(get(at(http), "h.example", "/p/x"), Some((200, "from i-2".into())));
-    keeper = control(false);
-    let read = || get(at(ctl), "c", "/-/Config.Read").filter(|a| a.0 == 200);
+    assert_eq!(get(http, "h.example", "/p/x"), Some((200, "from i-2".into())));
+    let again = (system.settings)(false, json!({"ctl": ctl}));
+    system.keeper = Some(start(&system.folder, "control", &again));
+    let read = || get(ctl, "c", "/-/Config.Read").filter(|a| a.0 == 200);
     let (_, kept) = wait("the configuration", read);
     let kept: Value = serde_json::from_str(&kept).expect("JSON");
     assert_eq!(kept, config(8, "two"));
-    drop(keeper);
-    let _ = std::fs::remove_dir_all(&folder);
 }
 
 #[test]
