Tell an evacuation that is another from one that is sent again by whether it was answered

Ruled out: a longer or shorter time, which trades one for the other. An order whose caller was answered within half of the second it listens is not sent again. Test: control-plane/tests/drains.rs.

--- a/crates/control-plane/src/cell.rs
+++ b/crates/control-plane/src/cell.rs
@@ -54,6 +54,14 @@
     at: Instant,
 }
 
+/// An evacuation or a return, as applied here.
+struct Drained {
+    begin: bool,
+    at: Instant,
+    /// Whether its caller was answered here while it still listened.
+    answered: bool,
+}
+
 /// The state's form in a snapshot. A member that meets another one ends: what it can't read it must not
 /// pass over.
 const KEPT: u32 = 2;
@@ -109,8 +117,8 @@
     led: Option<NodeId>,
     local: BTreeMap<String, (u64, Session)>,
     zones: BTreeMap<String, Zone>,
-    /// Each zone's last order: whether it evacuated, and when it was applied here.
-    drained: FxHashMap<String, (bool, Instant)>,
+    /// Each zone's last order.
+    drained: FxHashMap<String, Drained>,
 }
 
 /// One control balancer.
@@ -279,7 +287,10 @@
                         tracing::info!(index = entry.index, rev, ?evacuated, "agreed");
                     }
                     if let (Verdict::Taken, Some(drain)) = (&verdict, drain) {
-                        inner.drained.insert(drain.0, (drain.1, Instant::now()));
+                        let at = Instant::now();
+                        inner
+                            .drained
+                            .insert(drain.0, Drained { begin: drain.1, at, answered: false });
                     }
                     if let Some((term, waiting)) = waiting
                         && term == entry.term
@@ -341,9 +352,9 @@
         }
     }
 
-    /// Evacuates a zone, or takes that back. An order without a clear answer is sent again for `ack_ms` at
-    /// most: one that comes so soon after its like is the same, a later one is another, and each evacuation
-    /// holds the zone until it is taken back.
+    /// Evacuates a zone, or takes that back. An order without a clear answer is sent again, for `ack_ms` at
+    /// most: one that comes so soon after its like, which was not answered here, is the same. Any other is
+    /// another, and each evacuation holds the zone until it is taken back.
     pub async fn drain(
         &self,
         zone: &str,
@@ -364,7 +375,8 @@
                 let holds = inner.agreed.evacuated.get(zone).copied().unwrap_or(0);
                 let last = inner.drained.get(zone);
                 let again = Duration::from_millis(self.settings.bounds.ack_ms);
-                let same = last.is_some_and(|(b, at)| *b == begin && at.elapsed() < again);
+                let same =
+                    last.is_some_and(|d| d.begin == begin && !d.answered && d.at.elapsed() < again);
                 if same || !begin && holds == 0 {
                     return Ok(Verdict::AlreadyTaken);
                 }
@@ -378,6 +390,13 @@
         }
     }
 
+    /// The caller of a zone's last order is answered now, while it still listens.
+    pub fn drain_answered(&self, zone: &str, begin: bool) {
+        if let Some(last) = self.inner.borrow_mut().drained.get_mut(zone) {
+            last.answered |= last.begin == begin;
+        }
+    }
+
     /// An order, through the log.
     pub async fn order(&self, command: &Command, within: Duration) -> Result<Verdict, Unclear> {
         let until = Instant::now() + within;
--- a/crates/control-plane/src/interface.rs
+++ b/crates/control-plane/src/interface.rs
@@ -23,6 +23,8 @@
 const BASE: HeaderName = HeaderName::from_static("base-version");
 /// A caller moves on after a second of silence: an order that has no majority by then is unclear.
 const ORDER: Duration = Duration::from_millis(900);
+/// Half of that second: who is answered within it was still there.
+const LISTENS: Duration = Duration::from_millis(500);
 /// A large configuration may take so long to come.
 const BODY: Duration = Duration::from_millis(10_000);
 /// The largest configuration: a frame has to carry it, and a log entry.
@@ -62,7 +64,7 @@
 }
 
 impl Gate for Operators {
-    async fn answer(&self, request: Request<Incoming>, _: Instant, _: bool) -> Answer {
+    async fn answer(&self, request: Request<Incoming>, arrived: Instant, _: bool) -> Answer {
         let path = request.uri().path().to_string();
         match (request.method(), path.as_str()) {
             (&Method::GET, "/-/Config.Read") => self.read().await,
@@ -79,6 +81,9 @@
                 }
                 let verdict = self.cell.drain(zone, begin.is_some(), ORDER).await;
                 if matches!(verdict, Ok(Verdict::Taken | Verdict::AlreadyTaken)) {
+                    if arrived.elapsed() < LISTENS {
+                        self.cell.drain_answered(zone, begin.is_some());
+                    }
                     let holds = self.cell.agreed().evacuated.get(zone).copied().unwrap_or(0);
                     return answer(StatusCode::OK, &json!({"zone": zone, "evacuations": holds}));
                 }
--- a/crates/control-plane/tests/drains.rs
+++ b/crates/control-plane/tests/drains.rs
@@ -86,3 +86,17 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+#[tokio::test(start_paused = true)]
+async fn orders_whose_callers_were_answered_are_not_sent_again() {
+    // Failure: two operators evacuated a zone a second apart, and the first return cleared it for both.
+    let test = async {
+        let cell = alone().await;
+        for (begin, holds) in [(true, 1), (true, 2), (false, 1), (false, 0)] {
+            assert_eq!(order(&cell, begin).await, (Verdict::Taken, holds));
+            cell.drain_answered("a", begin);
+            sleep(Duration::from_secs(1)).await;
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
