Let a candidate that was refused ask again soon

Ruled out: the connections, which stood. Change: a refusal in the term brings the next asking (pre-vote) within one to two heartbeats.

--- a/crates/agreement/src/core.rs
+++ b/crates/agreement/src/core.rs
@@ -385,7 +385,14 @@
 
     fn voted(&mut self, from: NodeId, pre: bool, granted: bool, term: u64) {
         let wanted = if pre { self.term + 1 } else { self.term };
-        if self.role != (Role::Candidate { pre }) || !granted || term != wanted {
+        if self.role != (Role::Candidate { pre }) || term != wanted {
+            return;
+        }
+        if !granted {
+            // Failure: with four voters two candidates got two votes each, and both sat out a time-out.
+            if !pre {
+                self.ask_again();
+            }
             return;
         }
         self.votes.insert(from);
--- a/crates/agreement/tests/start.rs
+++ b/crates/agreement/tests/start.rs
@@ -66,7 +66,7 @@
     waits.sort_unstable();
     let (median, most) = (waits[100], waits[199]);
     assert!(median <= TIMING.heartbeat, "{median} ms in the median");
-    assert!(most <= 3 * TIMING.election, "{most} ms at the most: a split vote or two");
+    assert!(most <= 2 * TIMING.election, "{most} ms at the most: a split vote or two");
 }
 
 #[test]
