--- a/crates/agreement/src/core.rs
+++ b/crates/agreement/src/core.rs
@@ -99,8 +99,7 @@
     /// A member as its disk has it. `founders` are the first members, the same at each of them; they count
     /// only where the disk holds nothing.
     pub fn new(id: NodeId, timing: Timing, seed: u64, stored: Stored, founders: Members) -> Self {
-        let fresh = Snapshot { index: 0, term: 0, members: founders, data: Vec::new() };
-        let base = stored.snapshot.unwrap_or(fresh);
+        let base = stored.snapshot.unwrap_or(Snapshot::of_founders(founders));
         let restored = (base.index > 0).then(|| base.clone());
         let log: VecDeque<Entry> =
             stored.entries.into_iter().filter(|e| e.index > base.index).collect();
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -61,6 +61,13 @@
     pub data: Vec<u8>,
 }
 
+impl Snapshot {
+    /// Before any entry: nothing but the first members.
+    pub fn of_founders(members: Members) -> Self {
+        Self { index: 0, term: 0, members, data: Vec::new() }
+    }
+}
+
 /// What a member says to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
--- a/crates/agreement/tests/simulation.rs
+++ b/crates/agreement/tests/simulation.rs
@@ -71,8 +71,7 @@
         let voters: BTreeMap<NodeId, String> = (1..=size).map(|i| (i, format!("m{i}"))).collect();
         let founders = Members { voters, ..Members::default() };
         for id in 1..=size {
-            let snapshot =
-                agreement::Snapshot { index: 0, term: 0, members: founders.clone(), data: vec![] };
+            let snapshot = agreement::Snapshot::of_founders(founders.clone());
             let stored = Stored { snapshot: Some(snapshot), ..Stored::default() };
             let disk = Disk { stored, under_way: Vec::new() };
             let address = format!("m{id}");
--- a/crates/agreement/tests/start.rs
+++ b/crates/agreement/tests/start.rs
@@ -20,8 +20,7 @@
     for now in (0..last + 60_000).step_by(STEP as usize) {
         for (id, start) in ids.iter().zip(starts) {
             if now >= *start && !cores.contains_key(id) {
-                let snapshot =
-                    Snapshot { index: 0, term: 0, members: members.clone(), data: Vec::new() };
+                let snapshot = Snapshot::of_founders(members.clone());
                 let stored = Stored { snapshot: Some(snapshot), ..Stored::default() };
                 let seed = seed * 100 + id;
                 cores.insert(*id, Core::new(*id, TIMING, seed, stored, Members::default()));
--- a/crates/control-plane/src/cell.rs
+++ b/crates/control-plane/src/cell.rs
@@ -273,24 +273,19 @@
             let waiting = inner.orders.remove(&entry.index);
             match entry.payload {
                 Payload::Data(data) => {
-                    let mut drain = None;
-                    let verdict = match ciborium::from_reader::<Command, _>(&data[..]) {
-                        Ok(command) => {
-                            drain = command.drain();
-                            inner.agreed.apply(entry.index, &command)
-                        }
+                    let command = ciborium::from_reader::<Command, _>(&data[..]);
+                    let verdict = match &command {
+                        Ok(command) => inner.agreed.apply(entry.index, command),
                         Err(e) => Verdict::Invalid(e.to_string()),
                     };
-                    news |= verdict == Verdict::Taken;
-                    if news {
+                    if verdict == Verdict::Taken {
+                        news = true;
                         let (rev, evacuated) = (inner.agreed.rev, &inner.agreed.evacuated);
                         tracing::info!(index = entry.index, rev, ?evacuated, "agreed");
-                    }
-                    if let (Verdict::Taken, Some(drain)) = (&verdict, drain) {
-                        let at = Instant::now();
-                        inner
-                            .drained
-                            .insert(drain.0, Drained { begin: drain.1, at, answered: false });
+                        if let Some((zone, begin)) = command.ok().and_then(|c| c.drain()) {
+                            let (at, answered) = (Instant::now(), false);
+                            inner.drained.insert(zone, Drained { begin, at, answered });
+                        }
                     }
                     if let Some((term, waiting)) = waiting
                         && term == entry.term
@@ -363,13 +358,7 @@
     ) -> Result<Verdict, Unclear> {
         let until = Instant::now() + within;
         loop {
-            let left = until.saturating_duration_since(Instant::now());
-            if !self.leads() {
-                return Err(Unclear::NotLeader(self.leader()));
-            }
-            if left.is_zero() || !self.catch_up(left).await {
-                return Err(Unclear::NoMajority);
-            }
+            self.confirmed(until).await?;
             let command = {
                 let inner = self.inner.borrow();
                 let holds = inner.agreed.evacuated.get(zone).copied().unwrap_or(0);
@@ -382,8 +371,7 @@
                 }
                 Command::of_drain(zone, begin, inner.agreed.evacuated_index)
             };
-            let left = until.saturating_duration_since(Instant::now());
-            match self.order(&command, left).await {
+            match self.proposed(&command, until).await {
                 Ok(Verdict::Raced) => {}
                 verdict => return verdict,
             }
@@ -397,20 +385,32 @@
         }
     }
 
-    /// An order, through the log.
+    /// A change of the configuration, through the log.
     pub async fn order(&self, command: &Command, within: Duration) -> Result<Verdict, Unclear> {
         let until = Instant::now() + within;
+        self.confirmed(until).await?;
+        let verdict = self.inner.borrow().agreed.check(command);
+        if verdict != Verdict::Taken {
+            return Ok(verdict);
+        }
+        self.proposed(command, until).await
+    }
+
+    /// Leads, and knows all that was acknowledged: a leader that was cut off must not turn an order away on
+    /// what it last knew.
+    async fn confirmed(&self, until: Instant) -> Result<(), Unclear> {
         if !self.leads() {
             return Err(Unclear::NotLeader(self.leader()));
         }
-        // A leader that was cut off must not turn an order away on what it last knew.
-        if !self.catch_up(within).await {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() || !self.catch_up(left).await {
             return Err(Unclear::NoMajority);
         }
-        let verdict = self.inner.borrow().agreed.check(command);
-        if verdict != Verdict::Taken {
-            return Ok(verdict);
-        }
+        Ok(())
+    }
+
+    /// What becomes of a command that is put into the log.
+    async fn proposed(&self, command: &Command, until: Instant) -> Result<Verdict, Unclear> {
         let mut data = Vec::new();
         ciborium::into_writer(command, &mut data).map_err(|_| Unclear::NoMajority)?;
         let Some(index) = self.with_core(|core| core.propose(data)) else {
--- a/crates/control-plane/src/run.rs
+++ b/crates/control-plane/src/run.rs
@@ -37,7 +37,7 @@
     let mut id = RandomState::new().build_hasher().finish();
     if settings.bootstrap && !again && own.is_some_and(|own| settings.seeds.contains(&own)) {
         id = founder(settings.inner());
-        let seeds = settings.seeds.iter().map(|s| settings.inner_of(*s));
+        let seeds = settings.inner_seeds();
         founders.voters = seeds.map(|at| (founder(at), at.to_string())).collect::<BTreeMap<_, _>>();
     }
     store.found(id, &founders)
@@ -157,8 +157,7 @@
 
     #[tokio::test]
     async fn a_machine_whose_file_is_damaged_joins_as_a_new_member() {
-        let folder = std::env::temp_dir().join(format!("shorefront-again-{}", std::process::id()));
-        let _ = std::fs::remove_dir_all(&folder);
+        let folder = crate::store::tests::folder("again");
         let text = r#"{"node": "n", "ip": "127.0.0.1", "zone": "a", "region": "r",
             "zone_map": {"a": "r"}, "listen": {"ctl": "127.0.0.1:9"}, "port_range": [7000, 7010],
             "seeds": ["127.0.0.1:9"], "bootstrap": true}"#;
--- a/crates/control-plane/src/store.rs
+++ b/crates/control-plane/src/store.rs
@@ -19,7 +19,8 @@
 const FORMAT: u64 = 2;
 /// A disk that refused is tried again after this: a fraction of the time for which a lost member is borne.
 pub const AGAIN: Duration = Duration::from_millis(250);
-/// What a damaged file is called from then on.
+/// The file; and what a damaged one is called from then on.
+const NAME: &str = "control.redb";
 const ASIDE: &str = "control.redb.damaged";
 /// `redb` keeps so much of the file in memory: all of it, as small as it is kept.
 const CACHE: usize = 2 << 20;
@@ -97,25 +98,27 @@
     ciborium::from_reader(value).map_err(|e| e.to_string())
 }
 
+/// A name in a folder lasts only once the folder is synced.
+fn sync(folder: &Path) -> std::io::Result<()> {
+    std::fs::File::open(folder).and_then(|f| f.sync_all())
+}
+
 /// Puts a damaged file out of the way, in place of one that was there before.
 pub fn set_aside(folder: &Path) -> Result<(), StoreError> {
-    let moved = std::fs::rename(folder.join("control.redb"), folder.join(ASIDE));
-    let synced = moved.and_then(|()| std::fs::File::open(folder)).and_then(|f| f.sync_all());
-    synced.map_err(|e| StoreError::Folder(folder.into(), e))
+    let moved = std::fs::rename(folder.join(NAME), folder.join(ASIDE));
+    moved.and_then(|()| sync(folder)).map_err(|e| StoreError::Folder(folder.into(), e))
 }
 
 impl Store {
-    pub fn open(folder: &Path) -> Result<Self, StoreError> {
+    fn open(folder: &Path) -> Result<Self, StoreError> {
         Self::open_by(folder, opened)
     }
 
     fn open_by(folder: &Path, opener: Opener) -> Result<Self, StoreError> {
         std::fs::create_dir_all(folder).map_err(|e| StoreError::Folder(folder.into(), e))?;
-        let path = folder.join("control.redb");
+        let path = folder.join(NAME);
         let file = opener(&path).map_err(|e| StoreError::File(path.clone(), Box::new(e.into())))?;
-        // The name itself lasts only once the folder is synced.
-        let synced = std::fs::File::open(folder).and_then(|f| f.sync_all());
-        synced.map_err(|e| StoreError::Folder(folder.into(), e))?;
+        sync(folder).map_err(|e| StoreError::Folder(folder.into(), e))?;
         Ok(Self { path, file, opener })
     }
 
@@ -135,7 +138,7 @@
         };
         // Some damage makes `redb` panic: to this program it is an error like the others.
         std::panic::catch_unwind(checked).unwrap_or_else(|_| {
-            let path = folder.join("control.redb");
+            let path = folder.join(NAME);
             Err(StoreError::Damaged(path, "pages", "their structure is broken".into()))
         })
     }
@@ -157,7 +160,7 @@
     }
 
     /// Who this disk makes of the machine; `None` for a new one.
-    pub fn identity(&self) -> Result<Option<NodeId>, StoreError> {
+    fn identity(&self) -> Result<Option<NodeId>, StoreError> {
         match self.read::<u64>("format")? {
             None => Ok(None),
             Some(FORMAT) => self.read("id"),
@@ -167,7 +170,7 @@
 
     /// A new member, with the founders if it is one of them.
     pub fn found(&self, id: NodeId, founders: &Members) -> Result<(), StoreError> {
-        let snapshot = Snapshot { index: 0, term: 0, members: founders.clone(), data: Vec::new() };
+        let snapshot = Snapshot::of_founders(founders.clone());
         let writing = self.file.begin_write().map_err(self.failed())?;
         {
             let mut meta = writing.open_table(META).map_err(self.failed())?;
@@ -183,7 +186,7 @@
     }
 
     /// All of it.
-    pub fn load(&self) -> Result<Stored, StoreError> {
+    fn load(&self) -> Result<Stored, StoreError> {
         let (term, vote) = self.read::<(u64, Option<NodeId>)>("vote")?.unwrap_or_default();
         let snapshot: Option<Snapshot> = self.read("snapshot")?;
         let reading = self.file.begin_read().map_err(self.failed())?;
@@ -302,7 +305,7 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub(crate) mod tests {
     use std::sync::atomic::{AtomicBool, Ordering};
 
     use agreement::Payload;
@@ -310,7 +313,7 @@
 
     use super::*;
 
-    fn folder(name: &str) -> PathBuf {
+    pub(crate) fn folder(name: &str) -> PathBuf {
         let folder = std::env::temp_dir().join(format!("shorefront-{name}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         folder
@@ -352,7 +355,7 @@
     fn a_file_that_is_none_of_ours_is_an_error_not_a_new_start() {
         let at = folder("foreign");
         std::fs::create_dir_all(&at).expect("a folder");
-        std::fs::write(at.join("control.redb"), vec![7; 9000]).expect("written");
+        std::fs::write(at.join(NAME), vec![7; 9000]).expect("written");
         let error = Store::open(&at).err().expect("an error");
         assert!(error.damaged(), "{error}");
         set_aside(&at).expect("moved");
@@ -382,7 +385,7 @@
         store.found(7, &Members::default()).expect("written");
         store.write(&[save(1, 1, (1..=40).map(|i| entry(1, i)).collect())]).expect("written");
         drop(store);
-        let file = at.join("control.redb");
+        let file = at.join(NAME);
         let whole = std::fs::read(&file).expect("readable");
         let mut luck = oorandom::Rand32::new(20);
         let (mut unread, mut read) = (0, 0);
--- a/crates/control-plane/tests/drains.rs
+++ b/crates/control-plane/tests/drains.rs
@@ -24,8 +24,8 @@
     let settings = Settings::parse(Path::new("boot.json"), text.as_bytes()).expect("good");
     let voters = BTreeMap::from([(1, settings.inner().to_string())]);
     let members = Members { voters, ..Members::default() };
-    let snapshot = Snapshot { index: 0, term: 0, members, data: Vec::new() };
-    let stored = Stored { snapshot: Some(snapshot), ..Stored::default() };
+    let snapshot = Some(Snapshot::of_founders(members));
+    let stored = Stored { snapshot, ..Stored::default() };
     let (disk, orders) = disk::channel();
     let (dial, _) = mpsc::unbounded_channel();
     let (breaks, _) = mpsc::unbounded_channel();
--- a/crates/data-plane/src/engine.rs
+++ b/crates/data-plane/src/engine.rs
@@ -658,11 +658,8 @@
 
 #[cfg(test)]
 mod tests {
-    use hyper::StatusCode;
-    use hyper::header::HeaderName;
-
     use super::*;
-    use crate::upstreams::{Dialect, Load, Terms};
+    use crate::upstreams::{Terms, tests::dialect};
 
     fn pool() -> Rc<Pool> {
         Pool::new(Terms {
@@ -670,15 +667,7 @@
             keepalive: Duration::from_secs(5),
             connect_timeout: Duration::from_millis(250),
             answers: 1 << 20,
-            dialect: Dialect {
-                deadline: HeaderName::from_static("x-deadline-ms"),
-                target: None,
-                not_run: HeaderName::from_static("x-not-run"),
-                refusals: &[],
-                served: |s| s == StatusCode::OK,
-                passes_errors: false,
-                load: Load::Named(Vec::new()),
-            },
+            dialect: dialect(),
         })
     }
 
--- a/crates/data-plane/src/fetch.rs
+++ b/crates/data-plane/src/fetch.rs
@@ -19,33 +19,24 @@
 const LONGEST: usize = 8 << 20;
 
 /// Why a call brought nothing.
-#[derive(Debug)]
+#[derive(Debug, thiserror::Error)]
 pub enum FetchError {
+    #[error("connect: {0}")]
     Connect(std::io::Error),
+    #[error("{0}")]
     Http(hyper::Error),
+    #[error("answered {0}")]
     Status(StatusCode),
+    #[error("silent for too long")]
     Silent,
+    #[error("an answer that is cut short or too long")]
     Body,
+    #[error("an answer that makes no sense: {0}")]
     Malformed(serde_json::Error),
+    #[error("pages without end")]
     Endless,
 }
 
-impl std::fmt::Display for FetchError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            FetchError::Connect(e) => write!(f, "connect: {e}"),
-            FetchError::Http(e) => write!(f, "{e}"),
-            FetchError::Status(s) => write!(f, "answered {s}"),
-            FetchError::Silent => f.write_str("silent for too long"),
-            FetchError::Body => f.write_str("an answer that is cut short or too long"),
-            FetchError::Malformed(e) => write!(f, "an answer that makes no sense: {e}"),
-            FetchError::Endless => f.write_str("pages without end"),
-        }
-    }
-}
-
-impl std::error::Error for FetchError {}
-
 /// The client.
 pub struct Client {
     address: SocketAddr,
--- a/crates/data-plane/src/node.rs
+++ b/crates/data-plane/src/node.rs
@@ -22,7 +22,7 @@
 use crate::heads::{Answer, bare};
 use crate::routes::Routes;
 use crate::upstreams::{Dialect, Load, Pool, Terms};
-use crate::watch::Watch;
+use crate::watch::{CONNECT, Watch};
 
 /// Descriptors that are neither a client's nor an upstream's.
 const RESERVED: usize = 264;
@@ -33,8 +33,6 @@
 const GRID: Duration = Duration::from_millis(25);
 /// An upstream that does not say how long it keeps idle connections keeps them for so long at least.
 const KEEPALIVE: Duration = Duration::from_secs(8);
-/// A connection that is not up by then failed: several round trips between regions.
-const CONNECT: Duration = Duration::from_millis(400);
 /// Answers that are read, or not yet written to their clients, may take this part of the memory together.
 const ANSWERS_OF_MEMORY: usize = 4;
 /// The platform's checks are few.
@@ -163,14 +161,12 @@
         region: settings.region.clone(),
         http,
     };
-    let inner = |settings: &Settings| -> Vec<SocketAddr> {
-        settings.seeds.iter().map(|s| settings.inner_of(*s)).collect()
-    };
-    let watch = Watch::new(me, routes.clone(), &inner(&settings));
+    let watch = Watch::new(me, routes.clone());
+    watch.seeds(settings.inner_seeds());
     tokio::task::spawn_local(watch.clone().run());
     tokio::task::spawn_local(async move {
         while let Some(settings) = reloads.recv().await {
-            watch.seeds(&inner(&settings));
+            watch.seeds(settings.inner_seeds());
         }
     });
     tracing::info!(node = settings.node, %http, "data plane");
--- a/crates/data-plane/src/upstreams.rs
+++ b/crates/data-plane/src/upstreams.rs
@@ -438,7 +438,7 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub(crate) mod tests {
     use super::*;
 
     #[test]
@@ -472,7 +472,7 @@
         assert_eq!(read("-1,1e300,1"), (None, None));
     }
 
-    fn dialect() -> Dialect {
+    pub(crate) fn dialect() -> Dialect {
         Dialect {
             deadline: HeaderName::from_static("x-deadline-ms"),
             target: None,
--- a/crates/data-plane/src/watch.rs
+++ b/crates/data-plane/src/watch.rs
@@ -24,7 +24,7 @@
 pub const SILENCE: Duration = Duration::from_millis(2500);
 /// A connection that does not come up within this, longer than a round trip takes anywhere, is tried anew: a
 /// machine that was without power a moment ago has dropped the opening packet.
-const CONNECT: Duration = Duration::from_millis(400);
+pub const CONNECT: Duration = Duration::from_millis(400);
 /// Sessions at the same time.
 const SESSIONS: usize = 2;
 /// A control balancer that failed is called again before others only after this.
@@ -74,18 +74,15 @@
 }
 
 impl<F: Follower> Watch<F> {
-    pub fn new(me: Balancer, follower: Rc<F>, seeds: &[SocketAddr]) -> Rc<Self> {
-        let watch =
-            Rc::new(Self { me, follower, known: RefCell::default(), banks: RefCell::default() });
-        watch.seeds(seeds);
-        watch
+    pub fn new(me: Balancer, follower: Rc<F>) -> Rc<Self> {
+        Rc::new(Self { me, follower, known: RefCell::default(), banks: RefCell::default() })
     }
 
     /// Other addresses to try.
-    pub fn seeds(&self, seeds: &[SocketAddr]) {
+    pub fn seeds(&self, seeds: impl Iterator<Item = SocketAddr>) {
         let mut known = self.known.borrow_mut();
         for seed in seeds {
-            known.entry(*seed).or_default();
+            known.entry(seed).or_default();
         }
     }
 
--- a/crates/decisions/src/policy/admission.rs
+++ b/crates/decisions/src/policy/admission.rs
@@ -31,7 +31,7 @@
         let ahead = entry.turn.and_then(|k| self.lines.get(&k)).map_or(0, |l| l.waiting.len());
         self.requests.insert(r.id, entry);
         let (left, longest) = (r.drop_dead.since(now).f(), &mut self.fleet.longest[r.class]);
-        *longest = left.max(*longest * (1.0 - MEAN_GAIN * MEAN_GAIN));
+        *longest = left.max(*longest * (1.0 - LONGEST_FADE));
         // Failure: in overload, tries of late requests took the slots that new ones could have had in time.
         let late = *longest - left > class.aim.f();
         let in_share = self.in_share(now, r.tenant);
--- a/crates/decisions/src/policy/estimates.rs
+++ b/crates/decisions/src/policy/estimates.rs
@@ -196,9 +196,10 @@
     }
 
     pub(super) fn refresh_fleet(&mut self, now: Time) {
-        let tp2: Vec<f64> = self.servers.iter().filter_map(|s| s.est.tp2).collect();
-        if !tp2.is_empty() {
-            self.fleet.tp2 = tp2.iter().sum::<f64>() / tp2.len() as f64;
+        let tp2 = self.servers.iter().filter_map(|s| s.est.tp2);
+        let (sum, seen) = tp2.fold((0.0, 0.0), |(sum, seen), t| (sum + t, seen + 1.0));
+        if seen > 0.0 {
+            self.fleet.tp2 = sum / seen;
         }
         let shut = |c: usize| {
             let open = |i: &&usize| self.open_to(Some(c), &self.servers[**i]);
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -27,6 +27,8 @@
 const TS_GAIN: f64 = 0.125;
 /// Weight of a new answer in the fleet's mean of its class.
 const MEAN_GAIN: f64 = 0.02;
+/// So much of the longest time that clients have is forgotten per request: a shorter one shows in thousands.
+const LONGEST_FADE: f64 = MEAN_GAIN * MEAN_GAIN;
 /// An attempt that failed counts as this many mean service times at least.
 const FAULT_SLOWNESS: f64 = 5.0;
 /// One answer counts as this many at most: a heavy request must not condemn the upstream that drew it.
@@ -210,7 +212,9 @@
     /// Takes in what happened and appends what is to be done about it, in order.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         if !std::mem::replace(&mut self.started, true) {
-            self.start(now, out);
+            // Time is kept, and the list asked for, from the first event on.
+            self.ask.next = now.plus(self.jitter(ASK_JITTER_OF_EVERY));
+            self.arm(now, out);
         }
         match event {
             Event::Members { kind, list } => self.members(now, kind, list, out),
@@ -222,12 +226,6 @@
         }
     }
 
-    /// Begins to keep time and to ask for the list, with the first event.
-    fn start(&mut self, now: Time, out: &mut Vec<Action>) {
-        self.ask.next = now.plus(self.jitter(ASK_JITTER_OF_EVERY));
-        self.arm(now, out);
-    }
-
     fn jitter(&mut self, of_every: f64) -> Span {
         Span::of(self.rng.rand_float() * of_every * self.settings.rules.ask_every.f())
     }
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -182,13 +182,8 @@
 impl Fleet {
     /// Before any answer: `ts` for every upstream, and nothing known of any class.
     pub(crate) fn new(classes: usize, t_qos: f64, ts: f64, leeway: f64, now: Time) -> Self {
-        Self {
+        let mut fleet = Self {
             ts,
-            mean: vec![0.0; classes],
-            dev: vec![0.0; classes],
-            share: vec![0.0; classes],
-            hopeless: vec![0.0; classes],
-            longest: vec![0.0; classes],
             bearable: ts,
             part: vec![1.0; classes],
             lanes: vec![Lanes::new()],
@@ -197,11 +192,11 @@
             good: t_qos,
             counted: now,
             ..Self::default()
-        }
+        };
+        fleet.resize(classes);
+        fleet
     }
-}
 
-impl Fleet {
     /// Makes room for more classes, of which nothing is known.
     pub(crate) fn resize(&mut self, classes: usize) {
         let known = [&mut self.mean, &mut self.dev, &mut self.share, &mut self.hopeless];
--- a/crates/messages/src/settings.rs
+++ b/crates/messages/src/settings.rs
@@ -171,6 +171,11 @@
         SocketAddr::new(ctl.ip(), self.port_range.0)
     }
 
+    /// The same of the seeds.
+    pub fn inner_seeds(&self) -> impl Iterator<Item = SocketAddr> {
+        self.seeds.iter().map(|ctl| self.inner_of(*ctl))
+    }
+
     pub fn heartbeat(&self) -> Duration {
         Duration::from_millis(self.heartbeat_ms)
     }
--- a/crates/shorefront/tests/whole_path.rs
+++ b/crates/shorefront/tests/whole_path.rs
@@ -60,10 +60,15 @@
     address
 }
 
+fn connect(at: SocketAddr) -> std::io::Result<TcpStream> {
+    let stream = TcpStream::connect(at)?;
+    stream.set_read_timeout(Some(SOON))?;
+    Ok(stream)
+}
+
 /// One request on a connection of its own: status and body.
 fn ask(at: SocketAddr, request: &str) -> Option<(u16, String)> {
-    let mut stream = TcpStream::connect(at).ok()?;
-    stream.set_read_timeout(Some(SOON)).ok()?;
+    let mut stream = connect(at).ok()?;
     stream.write_all(request.as_bytes()).ok()?;
     let mut answer = String::new();
     stream.read_to_string(&mut answer).ok()?;
@@ -189,8 +194,7 @@
 
 /// What a raw client is answered until the balancer closes, which it must do soon.
 fn raw(at: SocketAddr, sent: &[u8]) -> String {
-    let mut stream = TcpStream::connect(at).expect("reachable");
-    stream.set_read_timeout(Some(SOON)).expect("set");
+    let mut stream = connect(at).expect("reachable");
     let _ = stream.write_all(sent);
     let mut answer = Vec::new();
     let mut part = [0; 4096];
@@ -269,10 +273,9 @@
         assert!(statuses.contains(&status), "{what}: {answer:?}");
     }
     // A body that its client cuts short.
-    let mut cut = TcpStream::connect(system.http).expect("reachable");
+    let mut cut = connect(system.http).expect("reachable");
     cut.write_all(post("Content-Length: 10\r\n", "abc").as_bytes()).expect("sent");
     cut.shutdown(std::net::Shutdown::Write).expect("shut");
-    cut.set_read_timeout(Some(SOON)).expect("set");
     let mut answer = String::new();
     let _ = cut.read_to_string(&mut answer);
     assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 400"), "{answer:?}");
