Hand on an answer only to the request whose id it echoes

Cause: the HTTP library's client took whatever answer came next on a connection for the one that was awaited, and the echoed Attempt-Id was never compared.

Ruled out: bytes that came before the next request (a look before writing saw those), and routing.

An exchange is now read here, with httparse for heads: an answer with another id is read past to the one that belongs to the request, so the request is neither lost nor run twice; a connection on which anything unasked for came is not used again, nor for the same id twice, nor one whose upstream echoes nothing. How much of a request is out is known to the byte. A connection that was forgotten while it idled shows how long is too long.

--- a/crates/data-plane/src/bodies.rs
+++ b/crates/data-plane/src/bodies.rs
@@ -1,11 +1,9 @@
-//! Memory for the bodies of requests and answers, and the reading of a whole answer within it.
+//! Memory for the bodies of requests and answers, and the reading of a body within it.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::Body;
 
 /// What bodies of one side may take together. Atomic since `Bytes` asks for it; there is one thread.
 #[derive(Clone)]
@@ -63,43 +61,58 @@
     }
 }
 
-/// Reads a body to its end; `None` if it is cut short, larger than `largest` or than there is room for. What
-/// announces too much is not read at all.
-pub async fn whole<B>(mut body: B, largest: usize, allowance: &Allowance) -> Option<Bytes>
-where
-    B: Body<Data = Bytes> + Unpin,
-{
-    let announced = usize::try_from(body.size_hint().lower()).ok().filter(|n| *n <= largest)?;
-    let mut room = allowance.room(announced)?;
-    let mut read = Vec::with_capacity(announced);
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.ok()?.into_data() else { continue };
-        if read.len() + data.len() > largest || !room.reach(read.len() + data.len()) {
+/// A body that is being read, within its room.
+pub struct Filling {
+    body: Vec<u8>,
+    room: Room,
+    largest: usize,
+}
+
+impl Filling {
+    /// One that announces so much; `None` if it is larger than `largest` or than there is room for.
+    pub fn new(allowance: &Allowance, announced: usize, largest: usize) -> Option<Self> {
+        let room = if announced <= largest { allowance.room(announced)? } else { return None };
+        Some(Self { body: Vec::with_capacity(announced), room, largest })
+    }
+
+    /// Takes in the next piece; `None` if that is too much.
+    pub fn add(&mut self, data: &[u8]) -> Option<()> {
+        let length = self.body.len() + data.len();
+        if length > self.largest || !self.room.reach(length) {
             return None;
         }
-        read.extend_from_slice(&data);
+        self.body.extend_from_slice(data);
+        Some(())
+    }
+
+    /// The whole of it.
+    pub fn done(self) -> Bytes {
+        Bytes::from_owner(Counted { body: self.body, _room: self.room })
     }
-    Some(Bytes::from_owner(Counted { body: read, _room: room }))
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
-    use http_body_util::Full;
 
-    #[tokio::test]
-    async fn a_body_takes_room_until_its_last_copy_is_gone() {
+    #[test]
+    fn a_body_takes_room_until_its_last_copy_is_gone() {
         let allowance = Allowance::new(10);
-        let body = || Full::new(Bytes::from_static(b"123456"));
-        let first = whole(body(), 6, &allowance).await.expect("there is room");
+        let read = |announced: usize, largest: usize| {
+            let mut body = Filling::new(&allowance, announced, largest)?;
+            body.add(b"123")?;
+            body.add(b"456")?;
+            Some(body.done())
+        };
+        let first = read(6, 6).expect("there is room");
         assert_eq!(first, "123456");
-        assert!(whole(body(), 6, &allowance).await.is_none(), "there is none");
+        assert!(read(6, 6).is_none() && read(0, 6).is_none(), "there is none");
         let part = first.slice(2..3);
         drop(first);
-        assert!(whole(body(), 6, &allowance).await.is_none(), "a copy is left");
+        assert!(read(6, 6).is_none(), "a copy is left");
         drop(part);
-        assert!(whole(body(), 5, &allowance).await.is_none(), "too large");
-        assert!(whole(body(), 6, &allowance).await.is_some());
+        assert!(read(6, 5).is_none() && read(0, 5).is_none(), "too large");
+        assert!(read(6, 6).is_some() && read(0, 6).is_some());
         assert_eq!(allowance.taken.load(Relaxed), 0);
     }
 }
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Read it in the order in which a request meets it: [`front`] accepts connections and reads requests,
 //! a gate (`routes`, or a program's own) finds what a request is and asks the [`engine`], which feeds the
-//! decision module and carries out its actions; [`upstreams`] makes the attempts. [`watch`] brings news from
+//! decision module and carries out its actions; [`upstreams`] makes the attempts, each an exchange on one
+//! connection. [`watch`] brings news from
 //! the control plane. Everything runs on one thread; only the engine touches the modules.
 //!
 //! **Promises.** Every request that was read whole gets one final answer; nothing is sent twice that may run
@@ -13,6 +14,7 @@
 pub mod bodies;
 pub mod connections;
 pub mod engine;
+mod exchange;
 pub mod fetch;
 pub mod front;
 pub mod heads;
--- a/crates/data-plane/src/node.rs
+++ b/crates/data-plane/src/node.rs
@@ -53,6 +53,7 @@
             StatusCode::TOO_MANY_REQUESTS,
             StatusCode::BAD_REQUEST,
         ],
+        echo: Some(HeaderName::from_static("attempt-id")),
         // Whatever else an upstream says is its answer; these would be promises that it did not make.
         served: |status| !status.is_server_error() && !promises(status),
         passes_errors: true,
--- a/crates/data-plane/src/stream.rs
+++ b/crates/data-plane/src/stream.rs
@@ -1,14 +1,12 @@
-//! A TCP stream of which more is known than hyper tells: what was read and written, and whether the kernel
-//! holds something that nobody has read. It outlives hyper's use of it.
+//! A TCP stream of which more is known than hyper tells: what was read and written. It outlives hyper's use
+//! of it.
 
 use std::cell::{Cell, RefCell};
-use std::io::{ErrorKind, IoSlice, Result};
-use std::mem::MaybeUninit;
+use std::io::{IoSlice, Result};
 use std::pin::Pin;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
-use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -22,8 +20,6 @@
     written: Cell<u64>,
     /// The last write had to wait.
     blocked: Cell<bool>,
-    /// The next write fails if something unread has come before it.
-    first_look: Cell<bool>,
 }
 
 impl Traffic {
@@ -41,11 +37,6 @@
         self.0.blocked.get()
     }
 
-    /// The next write is to fail if something waits to be read by then.
-    pub fn look_before_writing(&self) {
-        self.0.first_look.set(true);
-    }
-
     pub fn count_written(&self, bytes: usize) {
         self.0.written.set(self.0.written.get() + bytes as u64);
     }
@@ -66,15 +57,6 @@
         (Self { inner: inner.clone(), traffic: traffic.clone() }, inner, traffic)
     }
 
-    /// Guards against bytes that came after the last look at the connection: what is there before a request
-    /// is written cannot be its answer, but would be taken for it.
-    fn look(&self) -> Result<()> {
-        if self.traffic.0.first_look.replace(false) && !is_quiet(&self.inner.borrow()) {
-            return Err(ErrorKind::ConnectionAborted.into());
-        }
-        Ok(())
-    }
-
     fn wrote(&self, wrote: Poll<Result<usize>>) -> Poll<Result<usize>> {
         self.traffic.0.blocked.set(wrote.is_pending());
         if let Poll::Ready(Ok(n)) = wrote {
@@ -84,17 +66,6 @@
     }
 }
 
-/// Whether the stream is open and the kernel holds nothing unread on it, not even its end.
-fn is_quiet(stream: &TcpStream) -> bool {
-    let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
-    peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
-}
-
-/// The same of a stream that hyper may have let go.
-pub fn still_quiet(stream: &Weak<RefCell<TcpStream>>) -> bool {
-    stream.upgrade().is_some_and(|s| is_quiet(&s.borrow()))
-}
-
 impl AsyncRead for Tapped {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -111,7 +82,6 @@
 
 impl AsyncWrite for Tapped {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
-        self.look()?;
         let wrote = Pin::new(&mut *self.inner.borrow_mut()).poll_write(cx, buf);
         self.wrote(wrote)
     }
@@ -121,7 +91,6 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        self.look()?;
         let wrote = Pin::new(&mut *self.inner.borrow_mut()).poll_write_vectored(cx, bufs);
         self.wrote(wrote)
     }
--- a/crates/data-plane/src/upstreams.rs
+++ b/crates/data-plane/src/upstreams.rs
@@ -2,38 +2,39 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use decisions::interface::{Outcome, Report, ServerId};
 use decisions::settings::Field;
-use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode, Uri};
-use hyper_util::rt::TokioIo;
+use hyper::{Method, Response, StatusCode, Uri};
 use rustc_hash::FxHashMap;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-use crate::bodies::{Allowance, whole};
-use crate::heads::HEAD_LINES;
-use crate::stream::{Tapped, Traffic, still_quiet};
+use crate::bodies::Allowance;
+use crate::exchange::{Awaited, Link, Sent};
 
 /// Idle connections are dropped at this share of the upstream's own limit: a request that crosses with its
 /// close would end as a reset, which no unsafe request survives.
 const IDLE_OF_KEEPALIVE: f64 = 0.75;
 /// How often idle connections are looked through.
 const REAP_EVERY: Duration = Duration::from_millis(250);
-/// How long a connection may take to be ready again once its answer is whole.
-const READY: Duration = Duration::from_millis(10);
-/// The head of an answer may have so many bytes.
-const HEAD_LIMIT: usize = 16 << 10;
-/// The largest answer. Failure: a body is said to have 64 KiB at most, but in service some answers have
-/// 400 KB; taken for spoilt, each cost its request and its connection.
-const ANSWER_LIMIT: usize = 1 << 20;
+/// What was sent and is not acknowledged for so long is lost with its connection: the far side is gone without
+/// a word. Longer than three of the system's own repeats take.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(3000);
+/// A connection whose first bytes are reset within this many times the time that it took to come up had been
+/// forgotten by its upstream while it idled: work takes longer.
+const FORGOTTEN: u32 = 3;
+/// And this much for a busy moment on either side.
+const FORGOTTEN_SLACK: Duration = Duration::from_millis(5);
+/// Connections that idled for half as long as a forgotten one are not used for so long after it: what makes
+/// upstreams forget passes, and a new connection has its price.
+const WARY: Duration = Duration::from_secs(10);
 /// No figure of a load report lies outside of this.
 const PLAUSIBLE: std::ops::RangeInclusive<f64> = 0.0..=1e6;
 
@@ -55,6 +56,8 @@
     /// Says, with the value 1, that the request did not run; on which statuses it is believed.
     pub not_run: HeaderName,
     pub refusals: &'static [StatusCode],
+    /// What names a request and is echoed in its answer, if anything is.
+    pub echo: Option<HeaderName>,
     /// Statuses that say that the request was served.
     pub served: fn(StatusCode) -> bool,
     /// An upstream's own error is the client's answer where there is no better one.
@@ -114,27 +117,6 @@
     pub closed_from: Cell<Option<Instant>>,
 }
 
-/// A connection that no attempt is using, or that one attempt is.
-struct Link {
-    sender: SendRequest<Full<Bytes>>,
-    traffic: Traffic,
-    /// Gone once the connection has ended.
-    stream: Weak<RefCell<TcpStream>>,
-    address: SocketAddr,
-    idle_since: Instant,
-    /// It may idle for so long.
-    keepalive: Duration,
-    _connection: AbortOnDrop,
-}
-
-impl Link {
-    /// Guards against a close that has arrived and that the connection's own task has not been woken for yet:
-    /// when it came in the same moment as a request, the request was written first, and was lost as a reset.
-    fn still_open(&self) -> bool {
-        still_quiet(&self.stream)
-    }
-}
-
 /// Counts a descriptor for as long as it is open.
 struct Open(Rc<Cell<usize>>);
 
@@ -151,9 +133,17 @@
     }
 }
 
+/// A connection and the descriptor that it counts for.
+struct Kept {
+    link: Link,
+    _open: Open,
+}
+
 /// The connections to all upstreams, and how to use them.
 pub struct Pool {
-    idle: RefCell<FxHashMap<ServerId, Vec<Link>>>,
+    idle: RefCell<FxHashMap<ServerId, Vec<Kept>>>,
+    /// How long a connection had idled that its upstream had forgotten, and when that showed.
+    forgotten: Cell<Option<(Duration, Instant)>>,
     open: Rc<Cell<usize>>,
     answers: Allowance,
     terms: Terms,
@@ -162,7 +152,13 @@
 impl Pool {
     pub fn new(terms: Terms) -> Rc<Self> {
         let answers = Allowance::new(terms.answers);
-        let pool = Rc::new(Self { idle: RefCell::default(), open: Rc::default(), answers, terms });
+        let pool = Rc::new(Self {
+            idle: RefCell::default(),
+            open: Rc::default(),
+            forgotten: Cell::default(),
+            answers,
+            terms,
+        });
         let weak = Rc::downgrade(&pool);
         tokio::task::spawn_local(async move {
             loop {
@@ -177,14 +173,23 @@
     /// Drops what has idled for too long or was closed from the other side.
     fn reap(&self) {
         self.idle.borrow_mut().retain(|_, links| {
-            links.retain(|l| self.usable(l));
+            links.retain(|kept| self.usable(kept));
             !links.is_empty()
         });
     }
 
-    fn usable(&self, link: &Link) -> bool {
-        !link.sender.is_closed()
-            && link.idle_since.elapsed() < link.keepalive.mul_f64(IDLE_OF_KEEPALIVE)
+    fn usable(&self, kept: &Kept) -> bool {
+        let idled = kept.link.idle_since.elapsed();
+        let known = self.forgotten.get().filter(|(_, since)| since.elapsed() < WARY);
+        idled < kept.link.keepalive.mul_f64(IDLE_OF_KEEPALIVE)
+            && known.is_none_or(|(forgotten, _)| idled < forgotten / 2)
+    }
+
+    /// A connection that had idled for so long was forgotten by its upstream.
+    fn learn_forgotten(&self, idled: Duration) {
+        let known = self.forgotten.get().filter(|(_, since)| since.elapsed() < WARY);
+        let least = known.map_or(idled, |(known, _)| known.min(idled));
+        self.forgotten.set(Some((least, Instant::now())));
     }
 
     /// Drops the idle connections to an upstream.
@@ -193,19 +198,24 @@
     }
 
     /// The connection used last: the rest can age out.
-    fn take(&self, server: ServerId, address: SocketAddr) -> Option<Link> {
+    fn take(
+        &self,
+        server: ServerId,
+        address: SocketAddr,
+        id: Option<&HeaderValue>,
+    ) -> Option<Kept> {
         let mut idle = self.idle.borrow_mut();
-        let links = idle.get_mut(&server)?;
-        while let Some(link) = links.pop() {
-            if self.usable(&link) && link.address == address && link.still_open() {
-                return Some(link);
+        let all = idle.get_mut(&server)?;
+        while let Some(kept) = all.pop() {
+            if self.usable(&kept) && kept.link.address == address && kept.link.fits(id) {
+                return Some(kept);
             }
         }
         None
     }
 
-    fn put(&self, server: ServerId, link: Link) {
-        self.idle.borrow_mut().entry(server).or_default().push(link);
+    fn put(&self, server: ServerId, kept: Kept) {
+        self.idle.borrow_mut().entry(server).or_default().push(kept);
     }
 
     /// Makes room for one more connection at the cost of the one that has idled longest.
@@ -217,7 +227,7 @@
         // Each stack is in order of age, the oldest first.
         let oldest = idle
             .iter()
-            .filter_map(|(server, links)| links.first().map(|l| (l.idle_since, *server)))
+            .filter_map(|(server, all)| all.first().map(|k| (k.link.idle_since, *server)))
             .min_by_key(|(since, _)| *since);
         let Some((_, server)) = oldest else { return false };
         if let Some(links) = idle.get_mut(&server) {
@@ -226,30 +236,19 @@
         true
     }
 
-    async fn connect(&self, address: SocketAddr) -> Option<Link> {
+    async fn connect(&self, address: SocketAddr) -> Option<Kept> {
         if !self.make_room() {
             tracing::warn!("no descriptor left for an upstream");
             return None;
         }
-        let open = Open::new(&self.open);
+        let (open, from) = (Open::new(&self.open), Instant::now());
         let connect = timeout(self.terms.connect_timeout, TcpStream::connect(address));
         let stream = connect.await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
-        let (io, stream, traffic) = Tapped::new(stream);
-        let stream = Rc::downgrade(&stream);
-        let (sender, connection) = http1::Builder::new()
-            .max_buf_size(HEAD_LIMIT)
-            .max_headers(HEAD_LINES)
-            .handshake(TokioIo::new(io))
-            .await
-            .ok()?;
-        let task = tokio::task::spawn_local(async move {
-            let _open = open;
-            let _ = connection.await;
-        });
-        let idle_since = Instant::now();
-        let (_connection, keepalive) = (AbortOnDrop(task), self.terms.keepalive);
-        Some(Link { sender, traffic, stream, address, idle_since, keepalive, _connection })
+        // Without either, words are only later: a connection that is broken says so when it is used.
+        let _ = stream.set_nodelay(true);
+        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+        let link = Link::new(stream, address, from.elapsed(), self.terms.keepalive);
+        Some(Kept { link, _open: open })
     }
 
     /// One attempt: at most one request reaches the wire. `live` is asked right before it does.
@@ -281,74 +280,82 @@
         live: impl Fn() -> bool,
         sent: &mut Sent,
     ) -> Ended {
+        let dialect = &self.terms.dialect;
+        let id = dialect.echo.as_ref().map(|name| (name, forward.headers.get(name)));
         loop {
             let address = target.address.get();
-            let pooled = self.take(server, address);
+            let pooled = self.take(server, address, id.and_then(|(_, id)| id));
             let reused = pooled.is_some();
-            let link = match pooled {
-                Some(link) => Some(link),
+            let kept = match pooled {
+                Some(kept) => Some(kept),
                 None => self.connect(address).await,
             };
-            let Some(mut link) = link else { return Ended::bare(Outcome::ConnectFailed) };
+            let Some(mut kept) = kept else { return Ended::bare(Outcome::ConnectFailed) };
             // The wait for a connection may outlast the request, or the grace of a drain.
             let closed = target.closed_from.get().is_some_and(|from| Instant::now() >= from);
             if closed || !live() {
-                self.put(server, link);
+                self.put(server, kept);
                 return Ended::bare(Outcome::Moot);
             }
-            let Some(request) = forward.request(&self.terms.dialect, target, until, sent) else {
-                return Ended::bare(Outcome::Moot);
-            };
-            sent.start(&link.traffic);
-            link.traffic.look_before_writing();
-            let answer = match link.sender.send_request(request).await {
-                Ok(answer) => answer,
+            let head = forward.head(dialect, target, until);
+            let (link, from) = (&mut kept.link, Instant::now());
+            let idled = from - link.idle_since;
+            match link.send(&head, &forward.body, sent).await {
+                Ok(()) => {}
                 // A kept connection that closed before a byte went out is no attempt yet.
                 Err(_) if reused && sent.untouched() => continue,
+                Err(_) => return Ended::bare(Outcome::ConnectFailed),
+            }
+            let awaited = Awaited { method: &forward.method, echo: id };
+            match link.receive(&awaited, !sent.never_whole(), &self.answers).await {
+                Ok(answer) => return self.answer(server, target, kept, answer),
                 Err(_) if sent.never_whole() => return Ended::bare(Outcome::ConnectFailed),
-                Err(_) => return Ended::bare(Outcome::Reset),
-            };
-            return self.answer(server, target, link, answer).await;
+                Err(broken) => {
+                    if reused
+                        && broken.head.is_none()
+                        && from.elapsed() < link.took * FORGOTTEN + FORGOTTEN_SLACK
+                    {
+                        self.learn_forgotten(idled);
+                    }
+                    // Cut short, or larger than any answer may be: it ran, and there is nothing to pass on.
+                    let report = broken.head.map(|h| dialect.load.report(&h)).unwrap_or_default();
+                    return Ended { report, ..Ended::bare(Outcome::Reset) };
+                }
+            }
         }
     }
 
-    /// Reads an answer to its end; only then is it one.
-    async fn answer(
+    /// What a whole answer says.
+    fn answer(
         &self,
         server: ServerId,
         target: &Target,
-        mut link: Link,
-        answer: Response<hyper::body::Incoming>,
+        mut kept: Kept,
+        answer: Response<Bytes>,
     ) -> Ended {
-        let (head, body) = answer.into_parts();
         let dialect = &self.terms.dialect;
-        let report = dialect.load.report(&head.headers);
-        if let Some(told) = keep_alive(&head.headers) {
-            link.keepalive = told.min(self.terms.keepalive);
+        let report = dialect.load.report(answer.headers());
+        if let Some(told) = keep_alive(answer.headers()) {
+            kept.link.keepalive = told.min(self.terms.keepalive);
         }
-        // Cut short, or larger than any answer may be: it ran, and there is nothing to pass on.
-        let Some(body) = whole(body, ANSWER_LIMIT, &self.answers).await else {
-            return Ended { report, ..Ended::bare(Outcome::Reset) };
-        };
         // To one that drains or is gone nothing more will be sent.
-        let open = target.closed_from.get().is_none();
-        if open && let Ok(Ok(())) = timeout(READY, link.sender.ready()).await {
-            link.idle_since = Instant::now();
-            self.put(server, link);
+        if kept.link.reusable && target.closed_from.get().is_none() {
+            kept.link.idle_since = Instant::now();
+            self.put(server, kept);
         }
-        let not_run = head.headers.get(&dialect.not_run).is_some_and(|v| v == "1");
+        let status = answer.status();
+        let not_run = answer.headers().get(&dialect.not_run).is_some_and(|v| v == "1");
         // Whoever is not the one that was meant has not run it, whatever else it says.
-        let other = dialect.target.is_some() && head.status == StatusCode::MISDIRECTED_REQUEST;
-        let outcome = if (dialect.served)(head.status) {
+        let other = dialect.target.is_some() && status == StatusCode::MISDIRECTED_REQUEST;
+        let outcome = if (dialect.served)(status) {
             Outcome::Ok
-        } else if other || (not_run && dialect.refusals.contains(&head.status)) {
+        } else if other || (not_run && dialect.refusals.contains(&status)) {
             Outcome::Full
         } else {
             Outcome::Error
         };
         let passes = outcome == Outcome::Ok || (outcome == Outcome::Error && dialect.passes_errors);
-        let response = passes.then(|| Response::from_parts(head, body));
-        Ended { outcome, report, response }
+        Ended { outcome, report, response: passes.then_some(answer) }
     }
 }
 
@@ -387,53 +394,30 @@
     }
 }
 
-/// How much of a request was handed to the kernel.
-#[derive(Default)]
-struct Sent {
-    written: Option<(Traffic, u64)>,
-    /// It has this many bytes at least.
-    size: u64,
-}
-
-impl Sent {
-    fn start(&mut self, traffic: &Traffic) {
-        self.written = Some((traffic.clone(), traffic.written()));
-    }
-    fn bytes(&self) -> u64 {
-        self.written.as_ref().map_or(0, |(traffic, from)| traffic.written() - from)
-    }
-    fn untouched(&self) -> bool {
-        self.bytes() == 0
-    }
-    /// Its last byte is certainly not out; in doubt it is.
-    fn never_whole(&self) -> bool {
-        self.bytes() < self.size.max(1)
-    }
-}
-
 impl Forward {
-    fn request(
-        &self,
-        dialect: &Dialect,
-        target: &Target,
-        until: Instant,
-        sent: &mut Sent,
-    ) -> Option<Request<Full<Bytes>>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = self.headers.clone();
-        let left = until.saturating_duration_since(Instant::now()).as_millis();
-        let left = HeaderValue::from_str(&left.to_string()).ok()?;
-        request.headers_mut().insert(&dialect.deadline, left);
+    /// The head as it goes to an upstream.
+    fn head(&self, dialect: &Dialect, target: &Target, until: Instant) -> Vec<u8> {
+        let mut head = Vec::with_capacity(512);
+        let path = self.uri.path_and_query().map_or("/", |p| p.as_str());
+        let mut line = |parts: [&[u8]; 4]| parts.iter().for_each(|p| head.extend_from_slice(p));
+        line([self.method.as_str().as_bytes(), b" ", path.as_bytes(), b" HTTP/1.1\r\n"]);
+        let own =
+            |name: &HeaderName| *name == dialect.deadline || Some(name) == dialect.target.as_ref();
+        for (name, value) in self.headers.iter().filter(|(name, _)| !own(name)) {
+            line([name.as_str().as_bytes(), b": ", value.as_bytes(), b"\r\n"]);
+        }
+        let left = until.saturating_duration_since(Instant::now()).as_millis().to_string();
+        line([dialect.deadline.as_str().as_bytes(), b": ", left.as_bytes(), b"\r\n"]);
         if let (Some(header), Some(name)) = (&dialect.target, &target.name) {
-            request.headers_mut().insert(header, name.clone());
+            line([header.as_str().as_bytes(), b": ", name.as_bytes(), b"\r\n"]);
         }
-        // Every name and value goes out with at least this much around it.
-        let head: usize =
-            request.headers().iter().map(|(n, v)| n.as_str().len() + v.len() + 4).sum();
-        sent.size = (head + self.body.len()) as u64;
-        Some(request)
+        // A method that expects a body says that there is none (RFC 9110, 8.6).
+        let expects = [Method::POST, Method::PUT, Method::PATCH].contains(&self.method);
+        if expects && self.body.is_empty() {
+            line([b"content-length", b": ", b"0", b"\r\n"]);
+        }
+        head.extend_from_slice(b"\r\n");
+        head
     }
 }
 
@@ -478,6 +462,7 @@
             target: None,
             not_run: HeaderName::from_static("x-not-run"),
             refusals: &[],
+            echo: None,
             served: |s| s == StatusCode::OK,
             passes_errors: false,
             load: Load::Named(Vec::new()),
@@ -485,27 +470,26 @@
     }
 
     #[test]
-    fn only_what_is_certainly_not_whole_never_ran() {
+    fn a_head_goes_on_with_what_is_left_of_its_time_and_the_name_of_who_is_meant() {
+        let mut headers = HeaderMap::new();
+        headers.insert("host", HeaderValue::from_static("h"));
+        headers.insert("target-instance", HeaderValue::from_static("chosen by a client"));
         let forward = Forward {
             method: Method::POST,
-            uri: Uri::from_static("/api"),
-            headers: HeaderMap::new(),
-            body: Bytes::from_static(b"0123456789"),
+            uri: Uri::from_static("/api/x?q=1"),
+            headers,
+            body: Bytes::new(),
         };
         let address = Cell::new(SocketAddr::from(([127, 0, 0, 1], 1)));
-        let target = Target { address, name: None, closed_from: Cell::new(None) };
-        let mut sent = Sent::default();
-        assert!(sent.untouched() && sent.never_whole(), "no connection yet");
-        let traffic = Traffic::default();
-        traffic.count_written(1000); // An earlier request on the same connection.
-        assert!(forward.request(&dialect(), &target, Instant::now(), &mut sent).is_some());
-        sent.start(&traffic);
-        assert!(sent.untouched() && sent.never_whole());
-        traffic.count_written(10);
-        assert!(!sent.untouched() && sent.never_whole(), "head and body are longer than the body");
-        // `POST /api HTTP/1.1`, X-Deadline-Ms and the body, and not a byte less.
-        let whole = "POST /api HTTP/1.1\r\nx-deadline-ms: 0\r\n\r\n0123456789".len();
-        traffic.count_written(whole - 10);
-        assert!(!sent.never_whole());
+        let name = Some(HeaderValue::from_static("i-7"));
+        let target = Target { address, name, closed_from: Cell::new(None) };
+        let dialect =
+            Dialect { target: Some(HeaderName::from_static("target-instance")), ..dialect() };
+        let head = forward.head(&dialect, &target, Instant::now());
+        assert_eq!(
+            String::from_utf8_lossy(&head),
+            "POST /api/x?q=1 HTTP/1.1\r\nhost: h\r\nx-deadline-ms: 0\r\ntarget-instance: i-7\r\n\
+             content-length: 0\r\n\r\n"
+        );
     }
 }
--- a/crates/hollowpaddle/src/config.rs
+++ b/crates/hollowpaddle/src/config.rs
@@ -151,6 +151,7 @@
                 target: None,
                 not_run: HeaderName::from_static("x-not-run"),
                 refusals: &[StatusCode::SERVICE_UNAVAILABLE, StatusCode::GATEWAY_TIMEOUT],
+                echo: None,
                 served: |status| status == StatusCode::OK,
                 passes_errors: false,
                 load: Load::Named(names.map(|n| (n.clone(), Field::named(n))).collect()),
