--- a/crates/control-plane/src/cell.rs
+++ b/crates/control-plane/src/cell.rs
@@ -3,15 +3,16 @@
 //! [`Cell::changes`].
 
 use std::cell::{Cell as Plain, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::{Arc, mpsc as disk};
+use std::sync::mpsc as disk;
 use std::time::Duration;
 
 use agreement::{Core, Members, NodeId, Output, Payload, Role, Timing};
 use messages::settings::Settings;
-use messages::wire::{Bank, Control, News, Session, Tell, Upstream};
+use messages::wire::{self, Bank, Control, News, Session, Tell};
+use messages::zones::{Taken, Upstream, ZoneList};
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
@@ -42,16 +43,12 @@
     to: mpsc::Sender<Tell>,
     called: Rc<Notify>,
     heard: Option<Instant>,
-    sessions: Vec<Session>,
-}
-
-/// A zone's upstreams as its cell told them last.
-#[derive(Clone)]
-struct Zone {
-    version: u64,
-    upstreams: Arc<Vec<Upstream>>,
-    /// When it was learned here.
-    at: Instant,
+    /// Whom it takes for the leader.
+    leader: Option<SocketAddr>,
+    /// Those that stand with it, by node.
+    sessions: BTreeMap<String, Session>,
+    /// It has missed something that was told: it is told all sessions next.
+    behind: bool,
 }
 
 /// An evacuation or a return, as applied here.
@@ -116,7 +113,13 @@
     /// Who led when it was last written down.
     led: Option<NodeId>,
     local: BTreeMap<String, (u64, Session)>,
-    zones: BTreeMap<String, Zone>,
+    /// Nodes whose sessions here are other than was told last.
+    moved: BTreeSet<String>,
+    /// All sessions that stand anywhere, by node; gone when they may be other.
+    roll: Option<Rc<Vec<Session>>>,
+    /// What was told of who serves control.
+    controls: Vec<Control>,
+    zones: BTreeMap<String, ZoneList>,
     /// Each zone's last order.
     drained: FxHashMap<String, Drained>,
 }
@@ -150,6 +153,7 @@
             inner: settings.inner(),
             zone: settings.zone.clone(),
             region: settings.region.clone(),
+            disk: settings.data_dir.is_some(),
         };
         let cell = Rc::new(Self {
             id,
@@ -166,6 +170,9 @@
                 ids: FxHashMap::default(),
                 led: None,
                 local: BTreeMap::new(),
+                moved: BTreeSet::new(),
+                roll: None,
+                controls: Vec::new(),
                 zones: BTreeMap::new(),
                 drained: FxHashMap::default(),
             }),
@@ -202,10 +209,11 @@
         let mut told = Instant::now() - TELL;
         loop {
             self.with_core(|core| core.tick(self.start.elapsed().as_millis() as u64));
+            self.tell_moved();
             if told.elapsed() >= TELL {
                 told = Instant::now();
                 self.meet_members();
-                self.tell_sessions();
+                self.tell_alive();
                 self.join();
                 self.forget_lapsed();
             }
@@ -436,12 +444,19 @@
         self.inner.borrow().core.status().role == Role::Leader
     }
 
-    /// Where the leader talks to others, if it is known.
+    /// Where the leader talks to others, if it is known; to one that takes no part in the log, as the others
+    /// say, or else any of them.
     pub fn leader(&self) -> Option<SocketAddr> {
-        let inner = self.inner.borrow();
-        let leader = inner.core.status().leader?;
-        let at = inner.core.members().all().find(|(id, _)| *id == leader)?.1;
-        at.parse().ok()
+        let (inner, now) = (self.inner.borrow(), Instant::now());
+        if self.me.disk {
+            let leader = inner.core.status().leader?;
+            let at = inner.core.members().all().find(|(id, _)| *id == leader)?.1;
+            return at.parse().ok();
+        }
+        let live = || inner.peers.values().filter(|p| p.live(now));
+        let last = live().filter(|p| p.leader.is_some()).max_by_key(|p| p.heard);
+        let any = || live().filter_map(|p| p.at.as_ref()).find(|c| c.disk).map(|c| c.inner);
+        last.and_then(|p| p.leader).or_else(any)
     }
 
     pub fn agreed(&self) -> Agreed {
@@ -456,6 +471,9 @@
 
     /// Asks to take part in the log, until it does.
     fn join(&self) {
+        if !self.me.disk {
+            return;
+        }
         let voter = self.with_core(|core| {
             let voter = core.members().voters.contains_key(&core.status().id);
             if !voter {
@@ -484,7 +502,8 @@
             let (to, queue) = mpsc::channel(PEER_QUEUE);
             let called = Rc::new(Notify::new());
             let _ = self.ways.dial.send(Wanted { at, queue, called: called.clone() });
-            Peer { at: None, to, called, heard: None, sessions: Vec::new() }
+            let sessions = BTreeMap::new();
+            Peer { at: None, to, called, heard: None, leader: None, sessions, behind: true }
         });
         if control.is_some() {
             peer.at = control;
@@ -514,69 +533,165 @@
 
     /// A control balancer has said something.
     pub fn told(&self, from: SocketAddr, tell: Tell) {
-        if let Some(peer) = self.inner.borrow_mut().peers.get_mut(&from) {
-            peer.heard = Some(Instant::now());
+        let mut news = false;
+        {
+            let mut inner = self.inner.borrow_mut();
+            let inner = &mut *inner;
+            if let Some(peer) = inner.peers.get_mut(&from) {
+                let now = Instant::now();
+                if !peer.live(now) {
+                    // Its sessions count again.
+                    (inner.roll, news) = (None, true);
+                }
+                peer.heard = Some(now);
+            }
         }
         match tell {
             Tell::Log(message) => self.with_core(|core| core.receive(message)),
             Tell::Join { id, inner } => self.with_core(|core| core.join(id, inner.to_string())),
             Tell::Sessions { sessions, controls } => {
-                let mut news = false;
-                let mut inner = self.inner.borrow_mut();
-                for control in controls {
-                    self.meet_in(&mut inner, control.inner, None);
-                }
-                if let Some(peer) = inner.peers.get_mut(&from) {
-                    news = peer.sessions != sessions;
-                    peer.sessions = sessions;
+                let all = sessions.into_iter().map(|s| (s.balancer.node.clone(), s)).collect();
+                news |= self.sessions_of(from, Some(controls), |known| {
+                    let other = *known != all;
+                    *known = all;
+                    other
+                });
+            }
+            Tell::Moved { sessions, gone, controls } => {
+                news |= self.sessions_of(from, controls, |known| {
+                    let mut other = false;
+                    for node in &gone {
+                        other |= known.remove(node).is_some();
+                    }
+                    for s in sessions {
+                        let node = s.balancer.node.clone();
+                        other |= known.get(&node) != Some(&s);
+                        known.insert(node, s);
+                    }
+                    other
+                });
+            }
+            Tell::Alive { leader } => {
+                if let Some(peer) = self.inner.borrow_mut().peers.get_mut(&from) {
+                    peer.leader = leader;
                 }
-                drop(inner);
-                if news {
-                    self.changed();
+            }
+            Tell::Zone { zone, told } => self.zone(from, &zone, &told),
+            Tell::Want { zone } => {
+                let mut inner = self.inner.borrow_mut();
+                let whole = inner.zones.get(&zone).and_then(|z| z.whole(self.clock().0));
+                if let (Some(told), Some(peer)) = (whole, inner.peers.get_mut(&from)) {
+                    let _ = peer.to.try_send(Tell::Zone { zone, told });
                 }
             }
-            Tell::Zone { zone, version, upstreams } => self.zone(&zone, version, upstreams),
+        }
+        if news {
+            self.changed();
         }
     }
 
+    /// What a peer told of its sessions, and of who serves control. Whether that is news.
+    fn sessions_of(
+        &self,
+        from: SocketAddr,
+        controls: Option<Vec<Control>>,
+        apply: impl FnOnce(&mut BTreeMap<String, Session>) -> bool,
+    ) -> bool {
+        let mut inner = self.inner.borrow_mut();
+        for control in controls.into_iter().flatten() {
+            self.meet_in(&mut inner, control.inner, None);
+        }
+        let news = inner.peers.get_mut(&from).is_some_and(|peer| apply(&mut peer.sessions));
+        if news {
+            inner.roll = None;
+        }
+        news
+    }
+
     fn tell_all(&self, tell: &Tell) {
         for peer in self.inner.borrow().peers.values() {
             let _ = peer.to.try_send(tell.clone());
         }
     }
 
-    fn tell_sessions(&self) {
-        let tell = {
-            let inner = self.inner.borrow();
-            let sessions = inner.local.values().map(|(_, s)| s.clone()).collect();
-            let now = Instant::now();
-            let live = inner.peers.values().filter(|p| p.live(now));
-            let controls = live.filter_map(|p| p.at.clone()).collect();
-            Tell::Sessions { sessions, controls }
-        };
-        self.tell_all(&tell);
+    /// Tells the peers which sessions here are other than they were told last: those that changed since the
+    /// last tick together.
+    fn tell_moved(&self) {
+        let mut inner = self.inner.borrow_mut();
+        let known = inner.live_controls();
+        let controls = (known != inner.controls).then_some(known);
+        if inner.moved.is_empty() && controls.is_none() {
+            return;
+        }
+        if let Some(controls) = &controls {
+            inner.controls.clone_from(controls);
+        }
+        let moved = std::mem::take(&mut inner.moved);
+        let (stand, gone): (Vec<_>, Vec<_>) =
+            moved.into_iter().partition(|node| inner.local.contains_key(node));
+        let stand = stand.iter().filter_map(|node| inner.local.get(node));
+        let sessions = stand.map(|(_, s)| s.clone()).collect();
+        let tell = Tell::Moved { sessions, gone, controls };
+        for peer in inner.peers.values_mut() {
+            peer.behind |= peer.to.try_send(tell.clone()).is_err();
+        }
+    }
+
+    /// Tells the peers that this one is there, and all sessions to who has missed some.
+    fn tell_alive(&self) {
+        let leader = if self.me.disk { self.leader() } else { None };
+        let all = self.sessions();
+        for peer in self.inner.borrow_mut().peers.values_mut() {
+            let _ = peer.to.try_send(Tell::Alive { leader });
+            if peer.behind {
+                peer.behind = peer.to.try_send(all.clone()).is_err();
+            }
+        }
+    }
+
+    /// All sessions that stand here.
+    fn sessions(&self) -> Tell {
+        let inner = self.inner.borrow();
+        let sessions = inner.local.values().map(|(_, s)| s.clone()).collect();
+        Tell::Sessions { sessions, controls: inner.live_controls() }
+    }
+
+    /// All that a peer is told which has just been reached, or may have missed something.
+    pub fn introduction(&self) -> Vec<Tell> {
+        let (inner, now) = (self.inner.borrow(), self.clock().0);
+        let zones = inner.zones.iter().filter_map(|(zone, z)| Some((zone.clone(), z.whole(now)?)));
+        let zones: Vec<Tell> = zones.map(|(zone, told)| Tell::Zone { zone, told }).collect();
+        drop(inner);
+        std::iter::once(self.sessions()).chain(zones).collect()
     }
 
     fn forget_lapsed(&self) {
         let now = Instant::now();
-        let mut news = false;
-        for peer in self.inner.borrow_mut().peers.values_mut() {
-            if !peer.live(now) && !peer.sessions.is_empty() {
+        let news = {
+            let mut inner = self.inner.borrow_mut();
+            let lapsed = |p: &Peer| p.heard.is_some_and(|at| now >= at + LAPSE);
+            let news = inner.peers.values().any(|p| lapsed(p) && !p.sessions.is_empty());
+            for peer in inner.peers.values_mut().filter(|p| lapsed(p)) {
+                // Whatever it says next, it says all: its connection has ended by then.
                 peer.sessions.clear();
-                news = true;
             }
-        }
+            if news {
+                inner.roll = None;
+            }
+            news
+        };
         if news {
             self.changed();
         }
     }
 
-    /// Control balancers that are there, this one included.
+    /// Control balancers with a disk that are there, this one included.
     pub fn controls(&self) -> Vec<Control> {
-        let (inner, now) = (self.inner.borrow(), Instant::now());
-        let live = inner.peers.values().filter(|p| p.live(now));
-        let mut all: Vec<Control> = live.filter_map(|p| p.at.clone()).collect();
-        all.push(self.me.clone());
+        let mut all = self.inner.borrow().live_controls();
+        all.retain(|c| c.disk);
+        if self.me.disk {
+            all.push(self.me.clone());
+        }
         all.sort();
         all
     }
@@ -590,9 +705,12 @@
             self.next_session.get()
         });
         let node = session.balancer.node.clone();
-        let before = self.inner.borrow_mut().local.insert(node, (mark, session.clone()));
+        let mut inner = self.inner.borrow_mut();
+        let before = inner.local.insert(node.clone(), (mark, session.clone()));
         if before.is_none_or(|(_, s)| s != session) {
-            self.tell_sessions();
+            inner.moved.insert(node);
+            inner.roll = None;
+            drop(inner);
             self.changed();
         }
         mark
@@ -603,29 +721,35 @@
         let mut inner = self.inner.borrow_mut();
         if inner.local.get(node).is_some_and(|(m, _)| *m == mark) {
             inner.local.remove(node);
+            inner.moved.insert(node.to_string());
+            inner.roll = None;
             drop(inner);
-            self.tell_sessions();
             self.changed();
         }
     }
 
-    /// All sessions that stand, with whichever control balancer.
-    pub fn members(&self) -> Vec<Session> {
-        let inner = self.inner.borrow();
+    /// All sessions that stand, with whichever control balancer, in the order of the nodes' names.
+    pub fn members(&self) -> Rc<Vec<Session>> {
+        let mut inner = self.inner.borrow_mut();
+        if let Some(roll) = &inner.roll {
+            return roll.clone();
+        }
         let mut all: BTreeMap<&str, Session> = BTreeMap::new();
         let local = inner.local.values().map(|(_, s)| s);
-        for s in inner.peers.values().flat_map(|p| &p.sessions).chain(local) {
+        for s in inner.peers.values().flat_map(|p| p.sessions.values()).chain(local) {
             let known = all.entry(&s.balancer.node).or_insert_with(|| s.clone());
             known.ready |= s.ready;
             known.leaving |= s.leaving;
         }
-        all.into_values().collect()
+        let roll = Rc::new(all.into_values().collect::<Vec<_>>());
+        inner.roll = Some(roll.clone());
+        roll
     }
 
     fn bank(&self, node: &str) -> Bank {
         let members = self.members();
-        let position = members.iter().position(|s| s.balancer.node == node).unwrap_or(0);
-        Bank { balancers: members.len().max(1) as u32, position: position as u32 }
+        let position = members.binary_search_by(|s| s.balancer.node.as_str().cmp(node));
+        Bank { balancers: members.len().max(1) as u32, position: position.unwrap_or(0) as u32 }
     }
 
     // ------------------------------------------------------------------ zones
@@ -643,49 +767,72 @@
         map.keys().filter(keeps).cloned().collect()
     }
 
+    /// Milliseconds of this process's life, and of Unix time.
+    fn clock(&self) -> (u64, u64) {
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        let unix = unix.unwrap_or_default().as_millis() as u64;
+        (self.start.elapsed().as_millis() as u64, unix)
+    }
+
     /// A zone's list has come from the platform.
     pub fn listed(&self, zone: &str, upstreams: Vec<Upstream>) {
-        let known = self.inner.borrow().zones.get(zone).cloned();
-        // An upstream's cold spell is told once; that it gets shorter is no news.
-        let same = known.as_ref().is_some_and(|z| {
-            let cooled = z.at.elapsed().as_millis() as u64;
-            z.upstreams.len() == upstreams.len()
-                && z.upstreams.iter().zip(&upstreams).all(|(a, b)| {
-                    let left = a.warm_left_ms.saturating_sub(cooled);
-                    let warm_left_ms = b.warm_left_ms;
-                    left + 500 >= warm_left_ms && Upstream { warm_left_ms, ..a.clone() } == *b
-                })
-        });
-        if same {
-            return;
+        let (now, unix) = self.clock();
+        self.tell_on(zone, |list| list.listed(upstreams, now, unix, self.id));
+    }
+
+    /// Does something to a zone's list, and tells everyone if that is news.
+    fn tell_on(&self, zone: &str, act: impl FnOnce(&mut ZoneList) -> bool) {
+        let told = {
+            let mut inner = self.inner.borrow_mut();
+            let list = inner.zones.entry(zone.into()).or_default();
+            let before = list.version();
+            if !act(list) {
+                return;
+            }
+            list.since(before, self.clock().0)
+        };
+        if let Some(told) = told {
+            self.tell_all(&Tell::Zone { zone: zone.into(), told });
         }
-        // Above what any cell told before it, also one whose clock is a little ahead.
-        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-        let unix = unix.unwrap_or_default().as_millis() as u64;
-        let version = known.map_or(0, |z| z.version + 1).max(unix);
-        let upstreams = Arc::new(upstreams);
-        let tell = Tell::Zone { zone: zone.into(), version, upstreams: upstreams.clone() };
-        self.zone(zone, version, upstreams);
-        self.tell_all(&tell);
+        self.changed();
     }
 
-    /// The zones as they stand, for a peer that has just been reached.
-    pub fn zones(&self) -> Vec<Tell> {
-        let inner = self.inner.borrow();
-        let tell = |(zone, z): (&String, &Zone)| Tell::Zone {
-            zone: zone.clone(),
-            version: z.version,
-            upstreams: z.upstreams.clone(),
+    /// Another control balancer tells a zone.
+    fn zone(&self, from: SocketAddr, zone: &str, told: &messages::zones::Told) {
+        let (now, unix) = self.clock();
+        let taken = {
+            let mut inner = self.inner.borrow_mut();
+            let taken = inner.zones.entry(zone.into()).or_default().take(told, now);
+            if taken == Taken::Gap
+                && let Some(peer) = inner.peers.get(&from)
+            {
+                let _ = peer.to.try_send(Tell::Want { zone: zone.into() });
+            }
+            taken
         };
-        inner.zones.iter().map(tell).collect()
+        match taken {
+            Taken::New(_) => self.changed(),
+            // Told by who knew more, maybe this one in an earlier life: who keeps the zone tells it on.
+            Taken::Old(ids) if !ids.is_empty() && self.keeps(zone) => {
+                self.tell_on(zone, |list| list.listed_again(now, unix, self.id));
+            }
+            Taken::Old(_) | Taken::Gap => {}
+        }
     }
 
-    fn zone(&self, zone: &str, version: u64, upstreams: Arc<Vec<Upstream>>) {
-        let mut inner = self.inner.borrow_mut();
-        if inner.zones.get(zone).is_none_or(|z| z.version < version) {
-            inner.zones.insert(zone.into(), Zone { version, upstreams, at: Instant::now() });
-            drop(inner);
-            self.changed();
+    fn keeps(&self, zone: &str) -> bool {
+        self.kept_zones().iter().any(|z| z == zone)
+    }
+
+    /// A balancer has these versions of the zones. What this cell keeps and tells in future is above them: it
+    /// may have told them itself, before its clock went back or its memory was lost.
+    pub fn heard_of(&self, zones: &BTreeMap<String, u64>) {
+        let unix = self.clock().1;
+        for (zone, version) in zones {
+            let behind = self.inner.borrow().zones.get(zone).is_none_or(|z| z.version() < *version);
+            if behind && self.keeps(zone) {
+                self.tell_on(zone, |list| list.heard_of(*version, unix, self.id));
+            }
         }
     }
 
@@ -707,24 +854,35 @@
             let zones = agreed.evacuated.keys().cloned().collect();
             news.evacuated = Some((agreed.evacuated_index, zones));
         }
+        let now = self.clock().0;
         for (zone, z) in &inner.zones {
-            if has.zones.get(zone).is_none_or(|v| *v < z.version) {
-                has.zones.insert(zone.clone(), z.version);
-                news.zones.insert(zone.clone(), (z.version, z.upstreams.clone()));
+            let version = has.zones.get(zone).copied().unwrap_or(0);
+            if let Some(told) = z.since(version, now) {
+                has.zones.insert(zone.clone(), z.version());
+                news.zones.insert(zone.clone(), told);
             }
         }
         if has.bank != Some(bank) {
             has.bank = Some(bank);
             news.bank = Some(bank);
         }
-        if has.controls != controls {
-            has.controls.clone_from(&controls);
+        let digest = wire::digest(&controls);
+        if has.controls != digest {
+            has.controls = digest;
             news.controls = Some(controls);
         }
         (news != News::default()).then_some(news)
     }
 }
 
+impl Inner {
+    /// Other control balancers that are there.
+    fn live_controls(&self) -> Vec<Control> {
+        let now = Instant::now();
+        self.peers.values().filter(|p| p.live(now)).filter_map(|p| p.at.clone()).collect()
+    }
+}
+
 impl Peer {
     fn live(&self, now: Instant) -> bool {
         self.heard.is_some_and(|at| now < at + LAPSE)
--- a/crates/control-plane/src/interface.rs
+++ b/crates/control-plane/src/interface.rs
@@ -1,5 +1,7 @@
 //! What is asked of a control balancer over HTTP: operators' orders on `ctl`, clients' directory on `dir`.
 
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,6 +36,8 @@
 const TTL_OF_GRACE: f64 = 1.0 / 3.0;
 /// Balancers in an answer at most.
 const ADDRESSES: usize = 64;
+/// Places that answers are kept for: more than any site has.
+const ANSWERS: usize = 1000;
 /// With fewer than this in the client's own zone, those of its region are named too: one loss must leave it
 /// somewhere to go.
 const ENOUGH: usize = 2;
@@ -45,7 +49,21 @@
 
 /// Clients' directory.
 pub struct Directory {
-    pub cell: Rc<Cell>,
+    cell: Rc<Cell>,
+    told: RefCell<Answers>,
+}
+
+/// What clients were told by zone and region, for as long as the balancers are the same.
+#[derive(Default)]
+struct Answers {
+    of: Rc<Vec<Session>>,
+    answers: BTreeMap<(String, String), Option<Bytes>>,
+}
+
+impl Directory {
+    pub fn new(cell: Rc<Cell>) -> Self {
+        Self { cell, told: RefCell::default() }
+    }
 }
 
 fn answer(status: StatusCode, body: &serde_json::Value) -> Answer {
@@ -96,6 +114,9 @@
 
 impl Operators {
     async fn read(&self) -> Answer {
+        if !self.cell.me.disk {
+            return self.outcome("/-/Config.Read", Err(Unclear::NotLeader(self.cell.leader())));
+        }
         if !self.cell.catch_up(ORDER).await {
             return fault(StatusCode::SERVICE_UNAVAILABLE, "no majority of the control balancers");
         }
@@ -109,11 +130,11 @@
     fn status(&self) -> Answer {
         let (core, members) = self.cell.status();
         let agreed = self.cell.agreed();
-        let session = |s: Session| {
+        let session = |s: &Session| {
             json!({"node": s.balancer.node, "zone": s.balancer.zone, "http": s.balancer.http,
                 "ready": s.ready, "leaving": s.leaving})
         };
-        let sessions: Vec<_> = self.cell.members().into_iter().map(session).collect();
+        let sessions: Vec<_> = self.cell.members().iter().map(session).collect();
         answer(
             StatusCode::OK,
             &json!({"node": self.cell.settings.node, "id": format!("{:016x}", core.id),
@@ -189,14 +210,24 @@
                 .map(|p| p.1)
         };
         let (zone, region) = (field("zone").unwrap_or(""), field("region").unwrap_or(""));
-        let addresses = nearest(&self.cell.members(), zone, region);
-        if addresses.is_empty() {
-            let retry = Span(1_000_000);
-            return data_plane::heads::refusal(StatusCode::SERVICE_UNAVAILABLE, retry);
+        let members = self.cell.members();
+        let mut told = self.told.borrow_mut();
+        // Failure: with the whole fleet walked and written out for each client, look-ups took over a second.
+        if !Rc::ptr_eq(&told.of, &members) || told.answers.len() > ANSWERS {
+            *told = Answers { of: members.clone(), answers: BTreeMap::new() };
+        }
+        let key = (zone.to_string(), region.to_string());
+        let body = told.answers.entry(key).or_insert_with(|| {
+            let addresses = nearest(&members, zone, region);
+            let bounds = &self.cell.settings.bounds;
+            let ttl = (bounds.grace_s * TTL_OF_GRACE).min(bounds.ttl_max_s).max(0.5);
+            let body = json!({"addrs": addresses, "ttl_s": ttl}).to_string();
+            (!addresses.is_empty()).then(|| Bytes::from(body))
+        });
+        match body {
+            Some(body) => raw(StatusCode::OK, body.clone()),
+            None => data_plane::heads::refusal(StatusCode::SERVICE_UNAVAILABLE, Span(1_000_000)),
         }
-        let bounds = &self.cell.settings.bounds;
-        let ttl = (bounds.grace_s * TTL_OF_GRACE).min(bounds.ttl_max_s).max(0.5);
-        answer(StatusCode::OK, &json!({"addrs": addresses, "ttl_s": ttl}))
     }
 }
 
--- a/crates/control-plane/src/peers.rs
+++ b/crates/control-plane/src/peers.rs
@@ -7,7 +7,7 @@
 
 use data_plane::upstreams::AbortOnDrop;
 use data_plane::watch::{BEAT, SILENCE, dial};
-use messages::wire::{self, Ask, Hello, PROTOCOL, Session, Tell};
+use messages::wire::{self, Ask, Hello, PROTOCOL, Session, Tell, Word};
 use tokio::io::{AsyncWriteExt, BufReader, BufWriter};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -24,6 +24,9 @@
 /// A balancer that opens its session is told only what a majority confirms; where there is none for so
 /// long, what is known here: it is out of touch with the core then, and better serves than not.
 const CONFIRM: Duration = Duration::from_millis(4000);
+/// What another session of the same balancer brings is told here only after so long: a moment for it to
+/// arrive there and to be said here. Short beside any bound on news.
+const SECOND: Duration = Duration::from_millis(600);
 
 /// Calls the peers that the cell wants called.
 pub async fn call_all(cell: Rc<Cell>, mut wanted: mpsc::UnboundedReceiver<Wanted>) {
@@ -46,8 +49,6 @@
         if let Err(cause) = ended {
             tracing::debug!(at = %wanted.at, %cause, "peer");
         }
-        // What waits by now is old; the log and the cells tell it anew.
-        while wanted.queue.try_recv().is_ok() {}
         tokio::select! {
             () = sleep(AGAIN) => {}
             () = wanted.called.notified() => {}
@@ -64,11 +65,17 @@
     let (mut reader, writer) = stream.into_split();
     let mut writer = BufWriter::new(writer);
     let hello = Hello::Control { protocol: PROTOCOL, id: cell.id, at: cell.me.clone() };
-    wire::send(&mut writer, &hello).await?;
-    for tell in cell.zones() {
-        wire::send(&mut writer, &tell).await?;
-    }
-    timeout(WRITE, writer.flush()).await??;
+    // What waits by now is older than what it is told here; the log tells its own anew.
+    while queue.try_recv().is_ok() {}
+    let introduction = cell.introduction();
+    let written = async {
+        wire::send(&mut writer, &hello).await?;
+        for tell in introduction {
+            wire::send(&mut writer, &tell).await?;
+        }
+        writer.flush().await
+    };
+    timeout(WRITE, written).await??;
     loop {
         let tell = tokio::select! {
             tell = queue.recv() => tell.ok_or(io::ErrorKind::BrokenPipe)?,
@@ -148,40 +155,57 @@
     let node = session.balancer.node.clone();
     let (reader, writer) = stream.into_split();
     let mut writer = BufWriter::new(writer);
-    let (heard, mut asks) = mpsc::channel::<Ask>(8);
+    let (heard, mut words) = mpsc::channel::<Word>(8);
     // Reading has a task of its own: a frame half read must not be dropped.
     // Its end closes the channel.
     let _reading = AbortOnDrop(tokio::task::spawn_local(async move {
         let mut reader = BufReader::new(reader);
-        while let Ok(Ok(ask)) = timeout(SILENCE, wire::receive::<Ask>(&mut reader)).await {
-            if heard.send(ask).await.is_err() {
+        while let Ok(Ok(word)) = timeout(SILENCE, wire::receive::<Word>(&mut reader)).await {
+            if heard.send(word).await.is_err() {
                 return;
             }
         }
     }));
-    let mut has = asks.recv().await.ok_or(io::ErrorKind::UnexpectedEof)?;
+    let first = words.recv().await.ok_or(io::ErrorKind::UnexpectedEof)?;
+    let Word::Ask(mut has) = first else { return Err(io::ErrorKind::InvalidData.into()) };
     note(cell, mark, &mut session, &has);
     cell.catch_up(CONFIRM).await;
     let mut changes = cell.changes();
     let mut said = Instant::now() - BEAT;
+    // Since when there is something to tell on a session that is not the first.
+    let mut waits: Option<Instant> = None;
     loop {
         changes.borrow_and_update();
-        let news = cell.news(&node, &mut has);
+        let mut told = has.clone();
+        let mut news = cell.news(&node, &mut told);
+        waits = news.as_ref().map(|_| waits.unwrap_or_else(Instant::now));
+        let from = waits.filter(|_| has.second).map(|since| since + SECOND);
+        if from.is_some_and(|from| Instant::now() < from) {
+            news = None;
+        }
         if news.is_some() || said.elapsed() >= BEAT {
+            if news.is_some() {
+                (has, waits) = (told, None);
+            }
             said = Instant::now();
             let written = async {
                 wire::send(&mut writer, &news.unwrap_or_default()).await?;
                 writer.flush().await
             };
             timeout(WRITE, written).await??;
+            continue;
         }
+        let next = from.map_or(said + BEAT, |from| from.min(said + BEAT));
         tokio::select! {
-            ask = asks.recv() => {
-                let ask = ask.ok_or(io::ErrorKind::UnexpectedEof)?;
-                note(cell, mark, &mut session, &ask);
-            }
+            word = words.recv() => match word.ok_or(io::ErrorKind::UnexpectedEof)? {
+                Word::Ask(ask) => {
+                    note(cell, mark, &mut session, &ask);
+                    has = ask;
+                }
+                Word::Same => {}
+            },
             _ = changes.changed() => {}
-            () = tokio::time::sleep_until(said + BEAT) => {}
+            () = tokio::time::sleep_until(next) => {}
         }
     }
 }
@@ -189,4 +213,5 @@
 fn note(cell: &Cell, mark: u64, session: &mut Session, ask: &Ask) {
     (session.ready, session.leaving) = (ask.ready, ask.leaving);
     cell.session(Some(mark), session.clone());
+    cell.heard_of(&ask.zones);
 }
--- a/crates/control-plane/src/platform.rs
+++ b/crates/control-plane/src/platform.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use data_plane::fetch::{Client, FetchError};
-use messages::wire::Upstream;
+use messages::zones::Upstream;
 use serde::Deserialize;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -30,7 +30,6 @@
     id: String,
     svc: String,
     addr: SocketAddr,
-    zone: String,
     #[serde(default)]
     slots: u32,
     #[serde(default)]
@@ -71,13 +70,10 @@
             id: i.id,
             svc: i.svc,
             addr: i.addr,
-            zone: i.zone,
             slots: i.slots,
         }));
         token = page.next_token.filter(|t| !t.is_empty());
         if token.is_none() {
-            // In one order, so that an unchanged list is seen to be.
-            all.sort_by(|a, b| a.id.cmp(&b.id));
             return Ok(all);
         }
         sleep(Duration::ZERO).await;
--- a/crates/control-plane/src/run.rs
+++ b/crates/control-plane/src/run.rs
@@ -28,13 +28,17 @@
 /// Descriptors that are no caller's.
 const RESERVED: usize = 300;
 
+fn drawn() -> NodeId {
+    RandomState::new().build_hasher().finish()
+}
+
 /// Who the disk makes of this machine. The founders are the seeds of the first start, the same at all; each
 /// knows the others' ids by their addresses. Whoever comes later, or comes back without its disk, is new.
 fn found(store: &Store, settings: &Settings, again: bool) -> Result<(), StoreError> {
     let founder = |at: std::net::SocketAddr| stable_hash(&at.to_string());
     let mut founders = Members::default();
     let own = settings.listen.ctl;
-    let mut id = RandomState::new().build_hasher().finish();
+    let mut id = drawn();
     if settings.bootstrap && !again && own.is_some_and(|own| settings.seeds.contains(&own)) {
         id = founder(settings.inner());
         let seeds = settings.inner_seeds();
@@ -76,7 +80,6 @@
     mut reloads: mpsc::UnboundedReceiver<Settings>,
     stop: impl Future<Output = ()>,
 ) -> Result<(), String> {
-    let folder = settings.data_dir.clone().ok_or("`data_dir` is not set: control needs a disk")?;
     let bind = async |what: &str, at: Option<std::net::SocketAddr>| match at {
         None => Ok(None),
         Some(at) => {
@@ -87,11 +90,25 @@
     let operators = bind("ctl", settings.listen.ctl).await?;
     let directory = bind("dir", settings.listen.dir).await?;
     tokio::pin!(stop);
-    let (store, id, stored) = tokio::select! {
-        stored = stored(&settings, &folder) => stored?,
-        () = &mut stop => return Ok(()),
+    // Without a disk nothing is ever saved, and the channel must not end.
+    let mut _nothing = None;
+    let (disk, saved, id, stored) = match settings.data_dir.clone() {
+        Some(folder) => {
+            let (store, id, stored) = tokio::select! {
+                stored = stored(&settings, &folder) => stored?,
+                () = &mut stop => return Ok(()),
+            };
+            let (disk, saved) = store.serve().map_err(|e| format!("disk thread: {e}"))?;
+            (disk, saved, id, stored)
+        }
+        // Without a disk it takes no part in the log: it points callers to those that do.
+        None => {
+            let ((disk, _), (kept, saved)) =
+                (std::sync::mpsc::channel(), mpsc::unbounded_channel());
+            _nothing = Some(kept);
+            (disk, saved, drawn(), Stored::default())
+        }
     };
-    let (disk, saved) = store.serve().map_err(|e| format!("disk thread: {e}"))?;
     let (dial, wanted) = mpsc::unbounded_channel();
     let most = settings.limits.max_fds.saturating_sub(RESERVED).max(16) / 4;
     let (breaks, mut broken) = mpsc::unbounded_channel();
@@ -124,7 +141,7 @@
         fronts.push(front(gate, bounds, listener, ended.clone()));
     }
     if let Some(listener) = directory {
-        let gate = Rc::new(Directory { cell: cell.clone() });
+        let gate = Rc::new(Directory::new(cell.clone()));
         fronts.push(front(gate, bounds, listener, ended.clone()));
     }
     tokio::select! {
--- a/crates/data-plane/src/routes.rs
+++ b/crates/data-plane/src/routes.rs
@@ -2,7 +2,7 @@
 //! Holds what the control plane told last, and tells the engine of it.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
@@ -14,7 +14,8 @@
 use hyper::{Request, StatusCode};
 use messages::config::{Config, Kind, Limits, Route};
 use messages::settings::Settings;
-use messages::wire::{Ask, Bank, News, Upstream};
+use messages::wire::{Ask, Bank, News};
+use messages::zones::{Taken, Upstream, ZoneList};
 use rustc_hash::FxHashMap;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
@@ -66,7 +67,9 @@
     limits: Limits,
     evacuated_index: u64,
     evacuated: Vec<String>,
-    zones: BTreeMap<String, (u64, Rc<Vec<Upstream>>)>,
+    zones: BTreeMap<String, ZoneList>,
+    /// Zones of which something was told that builds on what is not here.
+    wanted: BTreeSet<String>,
     bank: Option<Bank>,
 }
 
@@ -83,6 +86,9 @@
     by_host: RefCell<FxHashMap<String, Vec<Rc<Open>>>>,
     /// When an upstream started, as first told.
     started: RefCell<FxHashMap<String, SystemTime>>,
+    /// The services whose upstreams the engine was told of one by one.
+    placed: RefCell<FxHashMap<String, usize>>,
+    start: Instant,
     turn: Cell<u32>,
     leaving: Cell<bool>,
     version: watch::Sender<u64>,
@@ -105,6 +111,8 @@
             services: RefCell::default(),
             by_host: RefCell::default(),
             started: RefCell::default(),
+            placed: RefCell::default(),
+            start: Instant::now(),
             turn: Cell::new(0),
             leaving: Cell::new(false),
             version: watch::channel(0).0,
@@ -223,60 +231,98 @@
         settings
     }
 
-    /// Tells the engine how all services stand by now.
-    fn tell_engine(&self, settings_too: bool) {
+    /// Tells the engine what holds for all services by now.
+    fn tell_settings(&self) {
         let bank = self.told.borrow().bank.unwrap_or(Bank { balancers: 1, position: 0 });
         for (i, service) in self.services.borrow().iter().enumerate() {
-            if settings_too {
-                let mut settings = self.settings(service, bank);
-                if settings.classes.is_empty() {
-                    // No route yet; the index is taken all the same.
-                    let any = d::Class::safe(Span(1_000_000), Span(1_000_000));
-                    settings.classes.push(any);
-                }
-                self.engine.tell(Note::Settings { service: i, settings: Box::new(settings) });
+            let mut settings = self.settings(service, bank);
+            if settings.classes.is_empty() {
+                // No route yet; the index is taken all the same.
+                let any = d::Class::safe(Span(1_000_000), Span(1_000_000));
+                settings.classes.push(any);
             }
-            let list = self.upstreams(service);
-            self.engine.tell(Note::Members { service: i, kind: ListKind::Whole, list });
+            self.engine.tell(Note::Settings { service: i, settings: Box::new(settings) });
         }
     }
 
-    fn upstreams(&self, service: &Service) -> Vec<engine::Upstream> {
+    /// Tells the engine all upstreams of all services.
+    fn tell_lists(&self) {
+        let mut lists: Vec<Vec<engine::Upstream>> = Vec::new();
+        lists.resize_with(self.services.borrow().len(), Vec::new);
+        let mut placed = self.placed.borrow_mut();
+        placed.clear();
+        let now = self.now();
         let told = self.told.borrow();
-        let started = self.started.borrow();
-        let mut list = Vec::new();
-        for (zone, (_, upstreams)) in &told.zones {
-            let number = self.zones.iter().position(|z| z == zone).unwrap_or(self.zones.len());
-            let closed = told.evacuated.contains(zone);
-            for u in upstreams.iter().filter(|u| u.svc == service.name) {
-                let status =
-                    if u.draining || closed { d::Status::Draining } else { d::Status::Live };
-                list.push(engine::Upstream {
-                    id: u.id.clone(),
-                    address: Some(u.addr),
-                    zone: number as u32,
-                    kind: 0,
-                    cell: 0,
-                    status,
-                    weight: 1.0,
-                    slots: u.slots,
-                    started: started.get(&u.id).copied(),
-                });
+        for (zone, list) in &told.zones {
+            for upstream in list.upstreams(now) {
+                let Some(service) = self.service(&upstream.svc) else { continue };
+                placed.insert(upstream.id.clone(), service);
+                lists[service].push(self.upstream(&told, zone, upstream));
             }
         }
-        list
+        for (service, list) in lists.into_iter().enumerate() {
+            self.engine.tell(Note::Members { service, kind: ListKind::Whole, list });
+        }
+    }
+
+    /// Tells the engine of those of a zone's upstreams that are other than before.
+    fn tell_changes(&self, zone: &str, ids: BTreeSet<String>) {
+        let mut lists: BTreeMap<usize, Vec<engine::Upstream>> = BTreeMap::new();
+        let told = self.told.borrow();
+        let Some(list) = told.zones.get(zone) else { return };
+        let (mut placed, now) = (self.placed.borrow_mut(), self.now());
+        for id in ids {
+            let (service, entry) = match list.upstream(&id, now) {
+                Some(upstream) => {
+                    let Some(service) = self.service(&upstream.svc) else { continue };
+                    placed.insert(id, service);
+                    (service, self.upstream(&told, zone, upstream))
+                }
+                None => {
+                    self.started.borrow_mut().remove(&id);
+                    let Some(service) = placed.remove(&id) else { continue };
+                    (service, engine::Upstream { status: d::Status::Gone, ..named(id) })
+                }
+            };
+            lists.entry(service).or_default().push(entry);
+        }
+        for (service, list) in lists {
+            self.engine.tell(Note::Members { service, kind: ListKind::Update, list });
+        }
+    }
+
+    fn service(&self, name: &str) -> Option<usize> {
+        self.services.borrow().iter().position(|s| s.name == name)
+    }
+
+    fn now(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+
+    fn upstream(&self, told: &Told, zone: &str, u: Upstream) -> engine::Upstream {
+        let number = self.zones.iter().position(|z| z == zone).unwrap_or(self.zones.len());
+        let closed = u.draining || told.evacuated.iter().any(|z| z == zone);
+        engine::Upstream {
+            address: Some(u.addr),
+            zone: number as u32,
+            status: if closed { d::Status::Draining } else { d::Status::Live },
+            slots: u.slots,
+            started: self.started.borrow().get(&u.id).copied(),
+            ..named(u.id)
+        }
     }
 
     /// Notes which upstreams of a zone are cold, and since when.
-    fn note_cold(&self, upstreams: &[Upstream]) {
-        let now = SystemTime::now();
+    fn note_cold(&self, list: &ZoneList, ids: &BTreeSet<String>) {
+        let (clock, now) = (SystemTime::now(), self.now());
         let services = self.services.borrow();
         let mut started = self.started.borrow_mut();
-        for u in upstreams.iter().filter(|u| u.warm_left_ms > 0) {
+        let cold = ids.iter().filter_map(|id| list.upstream(id, now));
+        for u in cold.filter(|u| u.warm_left_ms > 0) {
             let service = services.iter().find(|s| s.name == u.svc);
             let warmup = service.map_or(Duration::ZERO, |s| s.warmup);
             let passed = warmup.saturating_sub(Duration::from_millis(u.warm_left_ms));
-            let at = now.checked_sub(passed).unwrap_or(now);
+            let at = clock.checked_sub(passed).unwrap_or(clock);
             let known = started.entry(u.id.clone()).or_insert(at);
             if at.duration_since(*known).is_ok_and(|later| later > SAME_START) {
                 *known = at;
@@ -287,10 +333,10 @@
     /// A zone is taken back: whatever is there may have turned cold.
     fn returned(&self, zone: &str) {
         let told = self.told.borrow();
-        let Some((_, upstreams)) = told.zones.get(zone) else { return };
+        let Some(list) = told.zones.get(zone) else { return };
         let mut started = self.started.borrow_mut();
-        for u in upstreams.iter() {
-            started.insert(u.id.clone(), SystemTime::now());
+        for u in list.upstreams(self.now()) {
+            started.insert(u.id, SystemTime::now());
         }
     }
 
@@ -408,35 +454,62 @@
     if head.headers.contains_key(HOST) { Ok(()) } else { Err("Host") }
 }
 
+/// An upstream of which nothing but its id is known.
+fn named(id: String) -> engine::Upstream {
+    engine::Upstream {
+        id,
+        address: None,
+        zone: 0,
+        kind: 0,
+        cell: 0,
+        status: d::Status::Live,
+        weight: 1.0,
+        slots: 0,
+        started: None,
+    }
+}
+
 impl Follower for Routes {
     fn ask(&self) -> Ask {
         let told = self.told.borrow();
+        let has = |(zone, list): (&String, &ZoneList)| {
+            let version = if told.wanted.contains(zone) { 0 } else { list.version() };
+            (zone.clone(), version)
+        };
         Ask {
             config: told.config_index,
             evacuated: told.evacuated_index,
-            zones: told.zones.iter().map(|(z, (v, _))| (z.clone(), *v)).collect(),
-            bank: None,
-            controls: Vec::new(),
+            zones: told.zones.iter().map(has).collect(),
             ready: told.config_index > 0 && self.engine.ready(),
             leaving: self.leaving.get(),
+            ..Ask::default()
         }
     }
 
-    fn take(&self, news: &News) {
-        let (mut settings, mut lists) = (false, false);
+    fn take(&self, news: &News) -> bool {
+        let (mut settings, mut lists, mut gap) = (false, false, false);
         let known = self.told.borrow().config_index;
         if let Some((index, text)) = news.config.as_ref().filter(|(index, _)| *index > known) {
             self.configure(*index, text);
-            settings = true;
+            (settings, lists) = (true, true);
         }
-        for (zone, (version, upstreams)) in &news.zones {
-            if self.told.borrow().zones.get(zone).is_some_and(|(v, _)| v >= version) {
-                continue;
+        let mut changed = Vec::new();
+        for (zone, told) in &news.zones {
+            let mut known = self.told.borrow_mut();
+            let list = known.zones.entry(zone.clone()).or_default();
+            match list.take(told, self.now()) {
+                Taken::Old(ids) if ids.is_empty() => {}
+                Taken::Old(ids) | Taken::New(ids) => {
+                    self.note_cold(list, &ids);
+                    known.wanted.remove(zone);
+                    changed.push((zone, ids));
+                }
+                Taken::Gap => {
+                    tracing::debug!(zone, "a difference that builds on something else");
+                    known.wanted.insert(zone.clone());
+                    gap = true;
+                }
             }
-            self.note_cold(upstreams);
-            let upstreams = Rc::new(upstreams.to_vec());
-            self.told.borrow_mut().zones.insert(zone.clone(), (*version, upstreams));
-            lists = true;
         }
         let known = self.told.borrow().evacuated_index;
         if let Some((index, zones)) = news.evacuated.as_ref().filter(|(index, _)| *index > known) {
@@ -448,19 +521,32 @@
             before.iter().filter(|z| !zones.contains(z)).for_each(|z| self.returned(z));
             lists = true;
         }
-        if settings || lists {
-            self.tell_engine(settings);
+        let any = lists || !changed.is_empty();
+        if settings {
+            self.tell_settings();
+        }
+        if lists {
+            self.tell_lists();
+        } else {
+            changed.into_iter().for_each(|(zone, ids)| self.tell_changes(zone, ids));
+        }
+        if any {
             self.changed();
         }
+        gap
     }
 
     fn bank(&self, bank: Bank) {
         if self.told.borrow_mut().bank.replace(bank) != Some(bank) {
-            self.tell_engine(true);
+            self.tell_settings();
         }
     }
 
     fn changes(&self) -> watch::Receiver<u64> {
         self.version.subscribe()
     }
+
+    fn wake(&self) {
+        self.changed();
+    }
 }
--- a/crates/data-plane/src/watch.rs
+++ b/crates/data-plane/src/watch.rs
@@ -4,19 +4,19 @@
 //!
 //! **Neighbours down.** Without any control balancer all stays as it was last told.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use messages::wire::{self, Ask, Balancer, Bank, Control, Hello, News, PROTOCOL};
+use messages::wire::{self, Ask, Balancer, Bank, Control, Hello, News, PROTOCOL, Word};
 use tokio::io::{AsyncWriteExt, BufReader, BufWriter};
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// A word at least this often, in both directions.
 pub const BEAT: Duration = Duration::from_millis(1000);
@@ -32,6 +32,9 @@
 /// Between two calls.
 const AGAIN: Duration = Duration::from_millis(200);
 
+/// What changed here is said to the control balancers at most this often, unless they wait for it.
+const GATHER: Duration = Duration::from_millis(400);
+
 /// Sets a connection up. That silence ends it is seen to by the time limits on every read and write.
 pub fn tune(stream: &TcpStream) {
     // Without it words are only later; a connection that is broken says so when it is read.
@@ -49,12 +52,14 @@
 pub trait Follower: 'static {
     /// The versions it has by now; the bank and the control balancers are the session's own.
     fn ask(&self) -> Ask;
-    /// Takes news in; what is not newer changes nothing.
-    fn take(&self, news: &News);
+    /// Takes news in; what is not newer changes nothing. Whether something has to be told anew.
+    fn take(&self, news: &News) -> bool;
     /// The bank as the sessions tell it.
     fn bank(&self, bank: Bank);
     /// Wakes when there is something else to ask.
     fn changes(&self) -> watch::Receiver<u64>;
+    /// Wakes the sessions.
+    fn wake(&self);
 }
 
 /// What is known of a control balancer.
@@ -70,12 +75,15 @@
     me: Balancer,
     follower: Rc<F>,
     known: RefCell<BTreeMap<SocketAddr, Known>>,
+    /// The session that brings the news.
+    first: Cell<Option<SocketAddr>>,
     banks: RefCell<BTreeMap<SocketAddr, Bank>>,
 }
 
 impl<F: Follower> Watch<F> {
     pub fn new(me: Balancer, follower: Rc<F>) -> Rc<Self> {
-        Rc::new(Self { me, follower, known: RefCell::default(), banks: RefCell::default() })
+        let (known, first, banks) = (RefCell::default(), Cell::default(), RefCell::default());
+        Rc::new(Self { me, follower, known, first, banks })
     }
 
     /// Other addresses to try.
@@ -103,6 +111,11 @@
             self.mark(at, |k| k.in_use = true);
             let ended = self.session(at).await;
             self.mark(at, |k| k.in_use = false);
+            if self.first.get() == Some(at) {
+                // The other one hears of it by what it says next.
+                self.first.set(None);
+                self.follower.wake();
+            }
             self.banks.borrow_mut().remove(&at);
             if let Err(cause) = ended {
                 tracing::debug!(%at, %cause, "session over");
@@ -145,40 +158,62 @@
         best.zip(own).is_some_and(|(best, own)| (best.0, best.1) < (own.0, own.1))
     }
 
+    /// Says what is other than said last. Once news has come on it, a session is the first if there is none.
     async fn say(
         &self,
         writer: &mut BufWriter<OwnedWriteHalf>,
-        bank: Option<Bank>,
-        controls: &[Control],
+        said: &mut Option<Ask>,
+        ask: Ask,
     ) -> io::Result<()> {
-        let ask = Ask { bank, controls: controls.to_vec(), ..self.follower.ask() };
-        wire::send(writer, &ask).await?;
+        let word = if said.as_ref() == Some(&ask) { Word::Same } else { Word::Ask(ask.clone()) };
+        *said = Some(ask);
+        wire::send(writer, &word).await?;
         timeout(SILENCE, writer.flush()).await?
     }
 
+    fn ask(&self, at: SocketAddr, bank: Option<Bank>, controls: u32) -> Ask {
+        let second = self.first.get().is_some_and(|first| first != at);
+        Ask { bank, controls, second, ..self.follower.ask() }
+    }
+
     async fn session(&self, at: SocketAddr) -> io::Result<()> {
         let (reader, writer) = dial(at).await?.into_split();
         let (mut reader, mut writer) = (BufReader::new(reader), BufWriter::new(writer));
         let hello = Hello::DataPlane { protocol: PROTOCOL, balancer: self.me.clone() };
         wire::send(&mut writer, &hello).await?;
         let mut changes = self.follower.changes();
-        let (mut bank, mut controls) = (None, Vec::new());
+        let (mut bank, mut controls, mut said) = (None, 0, None);
         // The first word may wait for a majority.
         let mut patience = 3 * SILENCE;
+        self.say(&mut writer, &mut said, self.ask(at, bank, controls)).await?;
+        let mut next = Instant::now() + BEAT;
         loop {
-            changes.borrow_and_update();
-            self.say(&mut writer, bank, &controls).await?;
             let news: News = {
+                // A frame half read must not be dropped.
                 let news = timeout(patience, wire::receive(&mut reader));
                 tokio::pin!(news);
                 loop {
                     tokio::select! {
                         news = &mut news => break news??,
-                        _ = changes.changed() => self.say(&mut writer, bank, &controls).await?,
+                        _ = changes.changed() => {
+                            let ask = self.ask(at, bank, controls);
+                            let waited_for = said.as_ref().is_none_or(|s| s.waits_for(&ask));
+                            let soon = if waited_for { Duration::ZERO } else { GATHER };
+                            next = next.min(Instant::now() + soon);
+                        }
+                        () = sleep_until(next) => {
+                            let ask = self.ask(at, bank, controls);
+                            self.say(&mut writer, &mut said, ask).await?;
+                            next = Instant::now() + BEAT;
+                        }
                     }
                 }
             };
             patience = SILENCE;
+            if self.first.get().is_none() {
+                self.first.set(Some(at));
+                self.follower.wake();
+            }
             if let Some(told) = news.bank {
                 bank = Some(told);
                 self.banks.borrow_mut().insert(at, told);
@@ -189,13 +224,15 @@
                 }
             }
             if let Some(told) = &news.controls {
-                controls.clone_from(told);
+                controls = wire::digest(told);
                 let mut known = self.known.borrow_mut();
                 for control in told {
                     known.entry(control.inner).or_default().at = Some(control.clone());
                 }
             }
-            self.follower.take(&news);
+            if self.follower.take(&news) {
+                (said, next) = (None, Instant::now());
+            }
             if self.is_far(at) {
                 return Ok(());
             }
--- a/crates/messages/src/wire.rs
+++ b/crates/messages/src/wire.rs
@@ -10,8 +10,10 @@
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
+use crate::zones::Told;
+
 /// This build's protocol. A process that speaks another is turned away by its first frame.
-pub const PROTOCOL: u32 = 1;
+pub const PROTOCOL: u32 = 2;
 /// No frame is longer: a configuration of ten thousand routes fits many times.
 pub const LONGEST: usize = 16 << 20;
 
@@ -27,19 +29,40 @@
 /// A data-plane balancer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Balancer {
+    #[serde(rename = "n")]
     pub node: String,
+    #[serde(rename = "z")]
     pub zone: String,
+    #[serde(rename = "r")]
     pub region: String,
     /// Where clients reach it.
+    #[serde(rename = "h")]
     pub http: SocketAddr,
 }
 
 /// A control balancer.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Control {
+    #[serde(rename = "i")]
     pub inner: SocketAddr,
+    #[serde(rename = "z")]
     pub zone: String,
+    #[serde(rename = "r")]
     pub region: String,
+    /// It takes part in the log. One without a disk never does: it only points callers to those that do, and
+    /// answers as a directory.
+    #[serde(rename = "d")]
+    pub disk: bool,
+}
+
+/// What a data-plane balancer says on its session.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Word {
+    #[serde(rename = "a")]
+    Ask(Ask),
+    /// Nothing is other than it said last; it is there.
+    #[serde(rename = "s")]
+    Same,
 }
 
 /// A data-plane balancer asks for news of what it does not have.
@@ -47,19 +70,36 @@
 #[serde(default)]
 pub struct Ask {
     /// The place in the log of the configuration that it has in force, and of the evacuations.
+    #[serde(rename = "c")]
     pub config: u64,
+    #[serde(rename = "e")]
     pub evacuated: u64,
-    /// The version it has of each zone's upstreams.
-    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    /// The version it has of each zone's upstreams; 0 where it wants the whole list.
+    #[serde(rename = "z", skip_serializing_if = "BTreeMap::is_empty")]
     pub zones: BTreeMap<String, u64>,
-    /// Of the bank and of the control balancers.
-    #[serde(skip_serializing_if = "Option::is_none")]
+    /// Of the bank, and the digest of the control balancers it knows.
+    #[serde(rename = "b", skip_serializing_if = "Option::is_none")]
     pub bank: Option<Bank>,
-    #[serde(skip_serializing_if = "Vec::is_empty")]
-    pub controls: Vec<Control>,
+    #[serde(rename = "k")]
+    pub controls: u32,
     /// It is able to serve; it is about to end.
+    #[serde(rename = "r")]
     pub ready: bool,
+    #[serde(rename = "l")]
     pub leaving: bool,
+    /// Another session brings it the news: this one waits a moment before it tells them too.
+    #[serde(rename = "s")]
+    pub second: bool,
+}
+
+impl Ask {
+    /// Whether others wait for what is new in `next`: who may be sent clients, who brings the news, and what
+    /// has to be told anew. The rest only spares a word that is said twice.
+    pub fn waits_for(&self, next: &Self) -> bool {
+        let lacks = |ask: &Self| ask.zones.values().filter(|v| **v == 0).count();
+        (self.ready, self.leaving, self.second) != (next.ready, next.leaving, next.second)
+            || lacks(next) > lacks(self)
+    }
 }
 
 /// What it does not have; nothing of all that, where only the time for a word has come.
@@ -67,40 +107,29 @@
 #[serde(default)]
 pub struct News {
     /// The configuration as it was sent, and its place in the log.
-    #[serde(skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "c", skip_serializing_if = "Option::is_none")]
     pub config: Option<(u64, Arc<str>)>,
     /// The zones that get nothing, and the place in the log.
-    #[serde(skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "e", skip_serializing_if = "Option::is_none")]
     pub evacuated: Option<(u64, Vec<String>)>,
-    /// Zones' upstreams, each with its version.
-    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
-    pub zones: BTreeMap<String, (u64, Arc<Vec<Upstream>>)>,
-    #[serde(skip_serializing_if = "Option::is_none")]
+    /// Zones' upstreams.
+    #[serde(rename = "z", skip_serializing_if = "BTreeMap::is_empty")]
+    pub zones: BTreeMap<String, Told>,
+    #[serde(rename = "b", skip_serializing_if = "Option::is_none")]
     pub bank: Option<Bank>,
-    #[serde(skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "k", skip_serializing_if = "Option::is_none")]
     pub controls: Option<Vec<Control>>,
 }
 
 /// How many data-plane balancers there are, and which of them one is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Bank {
+    #[serde(rename = "n")]
     pub balancers: u32,
+    #[serde(rename = "p")]
     pub position: u32,
 }
 
-/// An upstream as its cell knows it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Upstream {
-    pub id: String,
-    pub svc: String,
-    pub addr: SocketAddr,
-    pub zone: String,
-    pub slots: u32,
-    pub draining: bool,
-    /// It is cold for so much longer, as of when the cell learned it.
-    pub warm_left_ms: u64,
-}
-
 /// What control balancers tell each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Tell {
@@ -110,18 +139,34 @@
     Join { id: NodeId, inner: SocketAddr },
     /// All sessions that stand with the sender, and who it knows to serve control.
     Sessions { sessions: Vec<Session>, controls: Vec<Control> },
-    /// A zone's upstreams, from its cell.
-    Zone { zone: String, version: u64, upstreams: Arc<Vec<Upstream>> },
+    /// Those that are other than it told last, and who serves control if that is other.
+    Moved { sessions: Vec<Session>, gone: Vec<String>, controls: Option<Vec<Control>> },
+    /// It is there, and takes this one for the leader.
+    Alive { leader: Option<SocketAddr> },
+    /// A zone's upstreams.
+    Zone { zone: String, told: Told },
+    /// What was told of the zone built on something that is not here: the whole list is wanted.
+    Want { zone: String },
 }
 
 /// A data-plane balancer's session, as others are told of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Session {
+    #[serde(rename = "b")]
     pub balancer: Balancer,
+    #[serde(rename = "r")]
     pub ready: bool,
+    #[serde(rename = "l")]
     pub leaving: bool,
 }
 
+/// Of a message, to see whether two processes have the same; never 0.
+pub fn digest<T: Serialize>(message: &T) -> u32 {
+    let mut bytes = Vec::new();
+    let written = ciborium::into_writer(message, &mut bytes);
+    if written.is_ok() { crc32fast::hash(&bytes).max(1) } else { 1 }
+}
+
 /// A frame as it goes on the wire.
 pub fn frame<T: Serialize>(message: &T) -> io::Result<Vec<u8>> {
     let mut bytes = vec![0; 4];
