--- a/crates/data-plane/src/watch.rs
+++ b/crates/data-plane/src/watch.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use messages::wire::{self, Ask, Balancer, Bank, Control, Hello, News, PROTOCOL, Word};
+use socket2::SockRef;
 use tokio::io::{AsyncWriteExt, BufReader, BufWriter};
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -35,10 +36,12 @@
 /// What changed here is said to the control balancers at most this often, unless they wait for it.
 const GATHER: Duration = Duration::from_millis(400);
 
-/// Sets a connection up. That silence ends it is seen to by the time limits on every read and write.
+/// Sets a connection up. Silence ends it by the time limits on every read and write; what was written and nobody
+/// acknowledges ends it too.
 pub fn tune(stream: &TcpStream) {
-    // Without it words are only later; a connection that is broken says so when it is read.
+    // Without them words are only later; a connection that is broken says so when it is read.
     let _ = stream.set_nodelay(true);
+    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(SILENCE));
 }
 
 /// A connection to another process of the system.
