Answer a request that is on its way as a front closes

Cause: three seconds after SIGTERM a front stops accepting and closes what is idle.

Ruled out: the end of the process (it had 2 s left), the socket's accept queue (it is reset at once).

When a front closes, a connection with nothing open waits 0.5 s for a request, as long as a link may hold packets; one that stays silent is closed without being read. The test fails without the wait.

--- a/crates/control-plane/src/run.rs
+++ b/crates/control-plane/src/run.rs
@@ -9,7 +9,7 @@
 
 use agreement::{Members, NodeId, Stored};
 use data_plane::connections::Times;
-use data_plane::front::{Bounds, Front, Gate};
+use data_plane::front::{Bounds, Front, Gate, LAST_WORD};
 use decisions::settings::stable_hash;
 use messages::settings::Settings;
 use tokio::net::TcpListener;
@@ -134,6 +134,7 @@
         times: TIMES,
         linger: Duration::ZERO,
         finish: Duration::from_secs(1),
+        last_word: LAST_WORD,
     };
     let mut fronts = Vec::new();
     if let Some(listener) = operators {
--- a/crates/data-plane/src/connections.rs
+++ b/crates/data-plane/src/connections.rs
@@ -64,6 +64,15 @@
         matches!(self.state.get(), State::Asked | State::Kept { .. })
     }
 
+    /// Whether nothing is open on it, and nothing of a next request has come.
+    pub fn is_silent(&self) -> bool {
+        match self.state.get() {
+            State::New { .. } => self.traffic.read() == 0,
+            State::Kept { read, .. } => self.traffic.read() == read,
+            State::Asked | State::Closing { .. } | State::Evicted => false,
+        }
+    }
+
     /// When it has to go, as things stand.
     fn limit(&self) -> Option<Instant> {
         match self.state.get() {
--- a/crates/data-plane/src/front.rs
+++ b/crates/data-plane/src/front.rs
@@ -17,7 +17,7 @@
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::connections::{Connections, Seat, Times};
 use crate::heads::{Answer, HEAD_LINES};
@@ -27,6 +27,9 @@
 const FINISH: Duration = Duration::from_millis(100);
 /// Wait after a failed accept, so that a full descriptor table does not become a busy loop.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+/// When a front closes, a connection that has nothing open still waits so long for a request that is on its way:
+/// as long as a link may hold packets.
+pub const LAST_WORD: Duration = Duration::from_millis(500);
 /// What a client still sends behind its last answer is read for so long, and up to so much.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 const LINGER_BYTES: usize = 4 << 20;
@@ -48,6 +51,8 @@
     pub linger: Duration,
     /// How long what is open after that may take.
     pub finish: Duration,
+    /// How much of that a connection with nothing open waits for a request: [`LAST_WORD`] in service.
+    pub last_word: Duration,
 }
 
 /// What answers the requests of a front.
@@ -147,28 +152,37 @@
     ) {
         let known = &*seat.connection;
         let service = service_fn(|request| self.respond(request, &seat));
-        let ended = {
+        let (ended, silent) = {
             let connection = http1::Builder::new()
                 .header_read_timeout(None) // Each connection's own limits hold.
                 .max_buf_size(self.bounds.get().head.max(LEAST_BUFFER))
                 .max_headers(HEAD_LINES)
                 .serve_connection(TokioIo::new(io), service);
             tokio::pin!(connection);
-            let mut stopping = false;
-            loop {
+            // Failure: a request that came in the moment of closing, on a connection just accepted, was read to its
+            // end and got no answer.
+            let (mut stopping, mut last_word, mut silent) = (false, None, false);
+            let ended = loop {
                 // The connection first: its limits are judged by what has passed on it.
                 tokio::select! {
                     biased;
                     _ = &mut connection => break true,
                     () = known.outstays() => break false,
                     _ = closing.wait_for(|c| *c), if !stopping => {
-                        connection.as_mut().graceful_shutdown();
                         stopping = true;
+                        last_word = Some(Instant::now() + self.bounds.get().last_word);
+                    }
+                    () = until(last_word), if last_word.is_some() => {
+                        last_word = None;
+                        silent = known.is_silent();
+                        connection.as_mut().graceful_shutdown();
                     }
                 }
-            }
+            };
+            (ended, silent)
         };
-        if ended {
+        // What is not read to its end is closed as unread: its client may send it elsewhere.
+        if ended && !silent {
             known.closing();
             tokio::select! {
                 _ = timeout(LINGER_TIME, read_out(&stream)) => {}
@@ -190,6 +204,12 @@
     }
 }
 
+async fn until(at: Option<Instant>) {
+    if let Some(at) = at {
+        sleep_until(at).await;
+    }
+}
+
 /// Reads what still comes until the client closes too. Failure: closed with something unread, the kernel
 /// resets the connection, and the answer may be lost on its way.
 async fn read_out(stream: &Shared) {
@@ -207,3 +227,74 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use hyper::StatusCode;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpStream;
+    use tokio::sync::oneshot;
+    use tokio::task::{LocalSet, spawn_local};
+
+    use super::*;
+    use crate::heads::bare;
+
+    struct Fine;
+
+    impl Gate for Fine {
+        async fn answer(&self, _: Request<Incoming>, _: Instant, _: bool) -> Answer {
+            bare(StatusCode::OK)
+        }
+    }
+
+    const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+    async fn told(stream: &mut TcpStream) -> String {
+        let mut text = Vec::new();
+        let _ = stream.read_to_end(&mut text).await;
+        String::from_utf8_lossy(&text).into_owned()
+    }
+
+    #[tokio::test]
+    async fn a_request_that_is_on_its_way_as_the_front_closes_is_answered() {
+        let test = async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let at = listener.local_addr().expect("an address");
+            let times = Times { head: Duration::from_secs(3), idle: Duration::from_secs(15) };
+            let (linger, finish, last_word) = (Duration::ZERO, Duration::from_secs(60), 30);
+            let last_word = Duration::from_secs(last_word);
+            let bounds =
+                Bounds { most: 8, at_ease: 8, head: 8192, times, linger, finish, last_word };
+            let (stop, stopped) = oneshot::channel::<()>();
+            let front = Front::new(Rc::new(Fine), bounds);
+            let stopped = async move { drop(stopped.await) };
+            let serving = spawn_local(front.clone().serve(listener, stopped));
+            // One that has asked before, one that has only come up, one that stays silent.
+            let mut kept = TcpStream::connect(at).await.expect("a connection");
+            kept.write_all(REQUEST).await.expect("written");
+            let mut answer = [0; 512];
+            assert!(kept.read(&mut answer).await.expect("an answer") > 0);
+            let mut new = TcpStream::connect(at).await.expect("a connection");
+            let mut silent = TcpStream::connect(at).await.expect("a connection");
+            while front.connections.len() < 3 {
+                sleep(Duration::from_millis(1)).await;
+            }
+            stop.send(()).expect("it serves");
+            while !front.stopping.get() {
+                sleep(Duration::from_millis(1)).await;
+            }
+            // The word to close has reached every connection by then.
+            sleep(Duration::from_millis(50)).await;
+            for stream in [&mut kept, &mut new] {
+                stream.write_all(REQUEST).await.expect("written");
+                let answer = told(stream).await;
+                assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+                assert!(answer.contains("connection: close"), "{answer:?}");
+            }
+            silent.shutdown().await.expect("it leaves");
+            assert_eq!(told(&mut silent).await, "", "closed without a word");
+            serving.await.expect("it ends");
+        };
+        LocalSet::new().run_until(test).await;
+    }
+}
--- a/crates/data-plane/src/node.rs
+++ b/crates/data-plane/src/node.rs
@@ -18,7 +18,7 @@
 
 use crate::connections::Times;
 use crate::engine::{self, Engine};
-use crate::front::{Bounds, Front, Gate};
+use crate::front::{Bounds, Front, Gate, LAST_WORD};
 use crate::heads::{Answer, bare};
 use crate::routes::Routes;
 use crate::upstreams::{Dialect, Load, Pool, Terms};
@@ -136,6 +136,7 @@
         times: times(&limits),
         linger,
         finish: grace.saturating_sub(linger).saturating_sub(SPARE),
+        last_word: LAST_WORD,
     };
     // The routes hold the front to the configuration's limits, and the front asks the routes.
     let slot: Rc<RefCell<Weak<Front<Routes>>>> = Rc::default();
--- a/crates/hollowpaddle/src/config.rs
+++ b/crates/hollowpaddle/src/config.rs
@@ -131,6 +131,8 @@
             times: Times { head: HEAD_TIME, idle: IDLE },
             linger: LINGER,
             finish: longest,
+            // A request that began later would not have its whole deadline.
+            last_word: Duration::ZERO,
         }
     }
 
