--- a/crates/data-plane/src/upstreams.rs
+++ b/crates/data-plane/src/upstreams.rs
@@ -34,6 +34,9 @@
 const FORGOTTEN: u32 = 3;
 /// And this much for a busy moment on either side.
 const FORGOTTEN_SLACK: Duration = Duration::from_millis(5);
+/// Nobody forgets what rested for less. Failure: upstreams that broke off at once made a balancer give up nearly
+/// every connection that it could have used again.
+const RESTED: Duration = Duration::from_millis(100);
 /// Connections that idled for half as long as a forgotten one are not used for so long after it: what makes
 /// upstreams forget passes, and a new connection has its price.
 const WARY: Duration = Duration::from_secs(10);
@@ -314,6 +317,7 @@
                 Err(_) if sent.never_whole() => return Ended::bare(Outcome::ConnectFailed),
                 Err(broken) => {
                     if reused
+                        && idled >= RESTED
                         && broken.head.is_none()
                         && from.elapsed() < link.took * FORGOTTEN + FORGOTTEN_SLACK
                     {
