--- a/crates/decisions/src/policy/dispatch.rs
+++ b/crates/decisions/src/policy/dispatch.rs
@@ -119,8 +119,8 @@
         s.others * (-now.since(s.told).f() / self.ts(s)).exp()
     }
 
-    /// The time to an answer of one that tells its load, in mean service times, with others' requests that have
-    /// come since. One's own part comes first: its answers are known.
+    /// The time to an answer of one that tells its load, in mean service times, with others' requests come
+    /// since. One's own part comes first: its answers are known.
     fn told_cost(&self, now: Time, s: &Server) -> f64 {
         let (f, lanes) = (&self.fleet, self.lanes(s));
         let load =
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -58,7 +58,7 @@
 const RIVAL: f64 = 0.1;
 /// An upstream this many times slower than the mean is a suspect.
 const SUSPECT: f64 = 2.0;
-/// An upstream across zones is as far as a part of the fleet; the least, so that slowness tells in one's own too.
+/// An upstream across zones is a part of the fleet further; the least, so that slowness tells in one's own.
 const FAR: f64 = 1.0;
 const NEAR: f64 = 0.1;
 /// How much fuller a near upstream must be, where told, before one in another zone or region is as good.
