--- a/crates/data-plane/src/stream.rs
+++ b/crates/data-plane/src/stream.rs
@@ -1,5 +1,5 @@
-//! A TCP stream of which more is known than hyper tells: what was read and written. It outlives hyper's use
-//! of it.
+//! A TCP stream of which more is known than hyper tells: how much was read, and whether writing waits. It
+//! outlives hyper's use of it.
 
 use std::cell::{Cell, RefCell};
 use std::io::{IoSlice, Result};
@@ -17,7 +17,6 @@
 #[derive(Default)]
 struct Passed {
     read: Cell<u64>,
-    written: Cell<u64>,
     /// The last write had to wait.
     blocked: Cell<bool>,
 }
@@ -27,19 +26,10 @@
         self.0.read.get()
     }
 
-    /// Bytes handed to the kernel. What was not handed over cannot have run.
-    pub fn written(&self) -> u64 {
-        self.0.written.get()
-    }
-
     /// Whether something is left to be written that the kernel could not take yet.
     pub fn blocked(&self) -> bool {
         self.0.blocked.get()
     }
-
-    pub fn count_written(&self, bytes: usize) {
-        self.0.written.set(self.0.written.get() + bytes as u64);
-    }
 }
 
 /// The stream itself, for its owner.
@@ -59,9 +49,6 @@
 
     fn wrote(&self, wrote: Poll<Result<usize>>) -> Poll<Result<usize>> {
         self.traffic.0.blocked.set(wrote.is_pending());
-        if let Poll::Ready(Ok(n)) = wrote {
-            self.traffic.count_written(n);
-        }
         wrote
     }
 }
