--- a/crates/agreement/src/core.rs
+++ b/crates/agreement/src/core.rs
@@ -83,6 +83,9 @@
     votes: BTreeSet<NodeId>,
     progress: BTreeMap<NodeId, Progress>,
     round: u64,
+    /// Rounds that a majority has not answered yet, and when each began; the last that it has.
+    rounds: VecDeque<(u64, u64)>,
+    confirmed: Option<u64>,
     beat: u64,
     reads: Vec<Pending>,
     asked: Vec<u64>,
@@ -122,6 +125,8 @@
             votes: BTreeSet::new(),
             progress: BTreeMap::new(),
             round: 0,
+            rounds: VecDeque::new(),
+            confirmed: None,
             beat: 0,
             reads: Vec::new(),
             asked: Vec::new(),
@@ -201,12 +206,19 @@
                 self.follow(self.term, None);
             } else if now >= self.beat {
                 self.broadcast(true);
+                self.confirm_reads();
             }
         } else if now >= self.campaign {
             self.stand(true);
         }
     }
 
+    /// When it surely led, by the clock of [`Core::tick`]: a majority has answered what it sent then, so whoever
+    /// is elected after it was elected later. `None` where it does not lead.
+    pub fn led_at(&self) -> Option<u64> {
+        self.confirmed.filter(|_| self.role == Role::Leader)
+    }
+
     /// When [`Core::tick`] has something to do next.
     pub fn due(&self) -> u64 {
         if self.role == Role::Leader { self.beat } else { self.campaign }
@@ -271,6 +283,8 @@
         self.leader = Some(self.id);
         self.progress.clear();
         self.reads.clear();
+        self.rounds.clear();
+        self.confirmed = None;
         let _ = self.append(Payload::Empty);
         self.broadcast(true);
     }
@@ -518,6 +532,8 @@
     fn broadcast(&mut self, beat: bool) {
         if beat {
             self.beat = self.now + self.timing.heartbeat;
+            self.round += 1;
+            self.rounds.push_back((self.round, self.now));
         }
         let ids: Vec<NodeId> =
             self.members().all().map(|(id, _)| id).filter(|id| *id != self.id).collect();
@@ -674,18 +690,21 @@
         if self.role != Role::Leader || !knows {
             return self.answer_read(from, token, None);
         }
-        self.round += 1;
-        self.reads.push(Pending { from, token, index: self.commit, round: self.round });
         self.broadcast(true);
+        self.reads.push(Pending { from, token, index: self.commit, round: self.round });
         self.confirm_reads();
     }
 
     fn confirm_reads(&mut self) {
+        while let Some((round, began)) = self.rounds.front().copied() {
+            if !self.answered_round(round) {
+                break;
+            }
+            self.rounds.pop_front();
+            self.confirmed = Some(began);
+        }
         while let Some(p) = self.reads.first() {
-            let round = p.round;
-            let told =
-                |id| id == self.id || self.progress.get(&id).is_some_and(|p| p.round >= round);
-            if !self.members().majority(told) {
+            if !self.answered_round(p.round) {
                 return;
             }
             let p = self.reads.remove(0);
@@ -693,6 +712,11 @@
         }
     }
 
+    fn answered_round(&self, round: u64) -> bool {
+        let told = |id| id == self.id || self.progress.get(&id).is_some_and(|p| p.round >= round);
+        self.members().majority(told)
+    }
+
     fn answer_read(&mut self, from: NodeId, token: u64, index: Option<u64>) {
         if from == self.id {
             self.out.reads.push((token, index));
--- a/crates/control-plane/src/cell.rs
+++ b/crates/control-plane/src/cell.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use agreement::{Core, Members, NodeId, Output, Payload, Role, Timing};
+use messages::keys::{Change, Counts, Slices};
 use messages::settings::Settings;
 use messages::wire::{self, Bank, Control, News, Session, Tell};
 use messages::zones::{Taken, Upstream, ZoneList};
@@ -25,7 +26,7 @@
 const HEARTBEAT: u64 = 300;
 /// Without a leader's word for so long, up to twice as long, a member campaigns: three heartbeats may be
 /// lost or late first.
-const ELECTION: u64 = 1000;
+pub const ELECTION: u64 = 1000;
 /// The log's clock.
 const TICK: Duration = Duration::from_millis(50);
 /// The log is cut after so many entries.
@@ -61,7 +62,9 @@
 
 /// The state's form in a snapshot. A member that meets another one ends: what it can't read it must not
 /// pass over.
-const KEPT: u32 = 2;
+const KEPT: u32 = 3;
+/// The form before had no keys; it is read as having none.
+const KEPT_BEFORE: u32 = 2;
 
 /// The state that goes into a snapshot.
 #[derive(Serialize, Deserialize)]
@@ -73,7 +76,7 @@
 impl Kept {
     fn read(data: &[u8]) -> Result<Agreed, String> {
         match ciborium::from_reader::<Self, _>(data) {
-            Ok(kept) if kept.form == KEPT => Ok(kept.agreed),
+            Ok(kept) if [KEPT, KEPT_BEFORE].contains(&kept.form) => Ok(kept.agreed),
             Ok(kept) => {
                 Err(format!("a snapshot of form {}, and this build reads {KEPT}", kept.form))
             }
@@ -122,6 +125,8 @@
     zones: BTreeMap<String, ZoneList>,
     /// Each zone's last order.
     drained: FxHashMap<String, Drained>,
+    /// What balancers counted of requests for keys, on its way to the leader.
+    work: BTreeMap<String, BTreeMap<u16, u16>>,
 }
 
 /// One control balancer.
@@ -175,6 +180,7 @@
                 controls: Vec::new(),
                 zones: BTreeMap::new(),
                 drained: FxHashMap::default(),
+                work: BTreeMap::new(),
             }),
             ways,
             version: watch::channel(0).0,
@@ -289,7 +295,11 @@
                     if verdict == Verdict::Taken {
                         news = true;
                         let (rev, evacuated) = (inner.agreed.rev, &inner.agreed.evacuated);
-                        tracing::info!(index = entry.index, rev, ?evacuated, "agreed");
+                        if matches!(command, Ok(Command::Place { .. })) {
+                            tracing::debug!(index = entry.index, "keys");
+                        } else {
+                            tracing::info!(index = entry.index, rev, ?evacuated, "agreed");
+                        }
                         if let Some((zone, begin)) = command.ok().and_then(|c| c.drain()) {
                             let (at, answered) = (Instant::now(), false);
                             inner.drained.insert(zone, Drained { begin, at, answered });
@@ -444,6 +454,73 @@
         self.inner.borrow().core.status().role == Role::Leader
     }
 
+    /// While this one leads: its term, and when it surely led, on the clock of its life in milliseconds.
+    pub fn led_at(&self) -> Option<(u64, u64)> {
+        let inner = self.inner.borrow();
+        Some((inner.core.status().term, inner.core.led_at()?))
+    }
+
+    /// Milliseconds of this process's life.
+    pub fn now(&self) -> u64 {
+        self.clock().0
+    }
+
+    /// Puts changes of who holds which keys into the log; whether they count shows once they are agreed on.
+    pub fn place(&self, service: &str, changes: Vec<Change>) {
+        let mut data = Vec::new();
+        let command = Command::Place { service: service.to_string(), changes };
+        if ciborium::into_writer(&command, &mut data).is_ok() {
+            let _ = self.with_core(|core| core.propose(data));
+        }
+    }
+
+    /// Balancers counted so many requests for keys.
+    pub fn count(&self, counts: Counts) {
+        let mut inner = self.inner.borrow_mut();
+        for (service, runs) in counts {
+            let known = inner.work.entry(service).or_default();
+            for (run, n) in runs {
+                let known = known.entry(run).or_default();
+                *known = known.saturating_add(n);
+            }
+        }
+    }
+
+    /// What was counted and not taken yet.
+    pub fn counted(&self) -> Counts {
+        let work = std::mem::take(&mut self.inner.borrow_mut().work);
+        work.into_iter().map(|(service, runs)| (service, runs.into_iter().collect())).collect()
+    }
+
+    /// Looks at a service's slices, as agreed on.
+    pub fn with_slices<T>(&self, service: &str, look: impl FnOnce(&Slices) -> T) -> T {
+        let inner = self.inner.borrow();
+        match inner.agreed.keys.get(service) {
+            Some(slices) => look(slices),
+            None => look(&Slices::default()),
+        }
+    }
+
+    /// All upstreams that are known, with the zones that are evacuated; `None` while some zone's are not.
+    pub fn known_upstreams(&self) -> Option<Vec<(Upstream, bool)>> {
+        let (inner, now) = (self.inner.borrow(), self.clock().0);
+        let mut all = Vec::new();
+        for zone in self.settings.zone_map.keys() {
+            let list = inner.zones.get(zone).filter(|z| z.version() > 0)?;
+            let evacuated = inner.agreed.evacuated.contains_key(zone);
+            all.extend(list.upstreams(now).map(|u| (u, evacuated)));
+        }
+        Some(all)
+    }
+
+    /// The place in the log of the configuration, and the services in it whose upstreams divide their keys, if
+    /// it is another place than `known`.
+    pub fn sharded(&self, known: u64) -> Option<(u64, Vec<String>)> {
+        let inner = self.inner.borrow();
+        let agreed = &inner.agreed;
+        (agreed.config_index != known).then(|| (agreed.config_index, agreed.sharded()))
+    }
+
     /// Where the leader talks to others, if it is known; to one that takes no part in the log, as the others
     /// say, or else any of them.
     pub fn leader(&self) -> Option<SocketAddr> {
@@ -576,6 +653,7 @@
                     peer.leader = leader;
                 }
             }
+            Tell::Work(counts) => self.count(counts),
             Tell::Zone { zone, told } => self.zone(from, &zone, &told),
             Tell::Want { zone } => {
                 let mut inner = self.inner.borrow_mut();
@@ -641,6 +719,14 @@
     fn tell_alive(&self) {
         let leader = if self.me.disk { self.leader() } else { None };
         let all = self.sessions();
+        if let Some(leader) = leader.filter(|at| *at != self.me.inner) {
+            let counts = self.counted();
+            if let Some(peer) = self.inner.borrow().peers.get(&leader)
+                && !counts.is_empty()
+            {
+                let _ = peer.to.try_send(Tell::Work(counts));
+            }
+        }
         for peer in self.inner.borrow_mut().peers.values_mut() {
             let _ = peer.to.try_send(Tell::Alive { leader });
             if peer.behind {
@@ -854,6 +940,15 @@
             let zones = agreed.evacuated.keys().cloned().collect();
             news.evacuated = Some((agreed.evacuated_index, zones));
         }
+        if agreed.keys_index > has.keys {
+            let rows = |(service, slices): (&String, &Slices)| {
+                let rows = slices.since(has.keys);
+                (!rows.is_empty()).then(|| (service.clone(), rows))
+            };
+            let rows = agreed.keys.iter().filter_map(rows).collect();
+            has.keys = agreed.keys_index;
+            news.keys = Some((agreed.keys_index, rows));
+        }
         let now = self.clock().0;
         for (zone, z) in &inner.zones {
             let version = has.zones.get(zone).copied().unwrap_or(0);
--- a/crates/control-plane/src/configuration.rs
+++ b/crates/control-plane/src/configuration.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use messages::config::Config;
+use messages::keys::{Change, Slices};
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 use sha2::{Digest, Sha256};
@@ -35,6 +36,11 @@
         zone: String,
         seen: u64,
     },
+    /// Who is to hold which keys of a service; each change counts by itself.
+    Place {
+        service: String,
+        changes: Vec<Change>,
+    },
 }
 
 impl Command {
@@ -49,7 +55,7 @@
         match self {
             Self::Evacuate { zone, .. } => Some((zone.clone(), true)),
             Self::Return { zone, .. } => Some((zone.clone(), false)),
-            Self::Replace { .. } | Self::Amend { .. } => None,
+            Self::Replace { .. } | Self::Amend { .. } | Self::Place { .. } => None,
         }
     }
 }
@@ -81,6 +87,11 @@
     /// Evacuated zones, each with the orders that hold it so: it is back when all are taken back.
     pub evacuated: BTreeMap<String, u32>,
     pub evacuated_index: u64,
+    /// Of each service whose upstreams divide its keys, who holds which; and where in the log that changed last.
+    #[serde(default)]
+    pub keys: BTreeMap<String, Slices>,
+    #[serde(default)]
+    pub keys_index: u64,
     /// Digests of the orders that were taken, by the version they led to.
     taken: BTreeMap<u64, [u8; 32]>,
 }
@@ -117,6 +128,15 @@
                     Verdict::Taken
                 }
             },
+            Command::Place { service, changes } => {
+                let slices = self.keys.entry(service.clone()).or_default();
+                let counted = changes.iter().filter(|c| slices.apply(index, c)).count();
+                if counted == 0 {
+                    return Verdict::Raced;
+                }
+                self.keys_index = index;
+                Verdict::Taken
+            }
             Command::Replace { .. } | Command::Amend { .. } => match self.outcome(command) {
                 Ok(Some((rev, config))) => {
                     (self.rev, self.config, self.config_index) = (rev, config.into(), index);
@@ -132,11 +152,18 @@
         }
     }
 
+    /// The services whose upstreams divide their keys.
+    pub fn sharded(&self) -> Vec<String> {
+        let config = serde_json::from_str::<Config>(&self.config);
+        let services = config.map(|c| c.services).unwrap_or_default();
+        services.into_iter().filter(|s| s.sharded).map(|s| s.name).collect()
+    }
+
     /// The version and configuration that an order leads to; `None` if it did already.
     fn outcome(&self, command: &Command) -> Result<Option<(u64, String)>, Verdict> {
         let (base, body) = match command {
             Command::Replace { base, body } | Command::Amend { base, body } => (*base, body),
-            Command::Evacuate { .. } | Command::Return { .. } => {
+            Command::Evacuate { .. } | Command::Return { .. } | Command::Place { .. } => {
                 return Ok(Some((self.rev, String::new())));
             }
         };
@@ -169,6 +196,7 @@
         Command::Amend { base, body } => (1, *base, body.as_str()),
         Command::Evacuate { zone, .. } => (2, 0, zone.as_str()),
         Command::Return { zone, .. } => (3, 0, zone.as_str()),
+        Command::Place { service, .. } => (4, 0, service.as_str()),
     };
     let mut hasher = Sha256::new();
     hasher.update([kind]);
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`cell`]: what a control balancer knows: the log, sessions, zones; it tells whoever waits for news.
 //! - [`peers`]: connections between control balancers, and the sessions of the data plane.
 //! - [`platform`]: the list of upstreams, asked for by the one cell that keeps a zone.
+//! - [`owners`]: where upstreams divide a service's keys, the leader grants them what `placement` plans.
 //! - [`interface`]: what operators and clients ask: configurations, drains, the directory.
 //!
 //! **Promises.** What was acknowledged is on the disks of a majority. **Neighbours down.** Without a majority
@@ -15,6 +16,7 @@
 pub mod cell;
 pub mod configuration;
 pub mod interface;
+pub mod owners;
 pub mod peers;
 pub mod platform;
 pub mod run;
--- /dev/null
+++ b/crates/control-plane/src/owners.rs
@@ -0,0 +1,186 @@
+//! Where upstreams divide a service's keys: while this one leads, it puts into the log who is to hold which, and
+//! grants and takes back what is agreed on. What is planned is `placement`'s; here are the calls.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use data_plane::fetch::{Client, FetchError};
+use http_body_util::Full;
+use hyper::header::CONTENT_TYPE;
+use hyper::{Request, StatusCode};
+use placement::{Answer, Ask, Call, Listed, Planner, Timing, Work};
+use serde_json::json;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::cell::{Cell, ELECTION};
+
+/// Keys are granted for so long, or for as long as the platform allows: an election takes up to two of its
+/// time-outs, and what was renewed last a third of this ago must outlive it.
+const HOLD: u64 = 5 * ELECTION;
+/// A grant is given up after so long: twice across regions and a busy moment at either end.
+const CALL: u64 = 800;
+/// A release is answered once what ran on the keys has ended.
+const RELEASE: u64 = 3000;
+/// Who leads sends grants for so long after it surely led: some heartbeats.
+const STALE: u64 = 1000;
+/// Between two calls after one that failed.
+const AGAIN: u64 = 200;
+/// Keys are divided once no upstream has come for so long: two asks of the platform in each zone.
+const SETTLE: u64 = 2500;
+/// Plans are made this often, and this long after a call has ended: with the others that end just then.
+const EVERY: Duration = Duration::from_millis(100);
+const GATHER: Duration = Duration::from_millis(10);
+/// Calls that may be out at once.
+const CALLS: usize = 64;
+
+/// The plans of one term, and the connections to upstreams.
+#[derive(Default)]
+struct Desk {
+    term: u64,
+    config: u64,
+    planners: BTreeMap<String, (Planner, Work)>,
+    clients: BTreeMap<String, Rc<Client>>,
+    out: usize,
+}
+
+/// Keeps the keys of all services, for good.
+pub async fn keep(cell: Rc<Cell>) {
+    let (desk, ended) = (Rc::new(RefCell::new(Desk::default())), Rc::new(Notify::new()));
+    loop {
+        for (service, call) in plan(&cell, &mut desk.borrow_mut()) {
+            tokio::task::spawn_local(carry_out(
+                cell.clone(),
+                desk.clone(),
+                ended.clone(),
+                service,
+                call,
+            ));
+        }
+        if timeout(EVERY, ended.notified()).await.is_ok() {
+            sleep(GATHER).await;
+        }
+    }
+}
+
+/// What is to be called by now; what is to be changed is put into the log.
+fn plan(cell: &Rc<Cell>, desk: &mut Desk) -> Vec<(String, Call)> {
+    let Some((term, led_at)) = cell.led_at() else {
+        desk.planners.clear();
+        return Vec::new();
+    };
+    let now = cell.now();
+    if desk.term != term {
+        (desk.term, desk.config) = (term, 0);
+        desk.planners.clear();
+    }
+    if let Some((config, services)) = cell.sharded(desk.config) {
+        desk.config = config;
+        let timing = Timing {
+            hold: HOLD.min(cell.settings.bounds.max_hold_ms),
+            call: CALL,
+            stale: STALE,
+            again: AGAIN,
+            settle: SETTLE,
+        };
+        desk.planners.retain(|s, _| services.contains(s));
+        for service in services {
+            desk.planners
+                .entry(service)
+                .or_insert_with(|| (Planner::new(now, timing), Work::default()));
+        }
+    }
+    if desk.planners.is_empty() {
+        return Vec::new();
+    }
+    let Some(upstreams) = cell.known_upstreams() else { return Vec::new() };
+    let (mut calls, counted) = (Vec::new(), cell.counted());
+    for (service, (planner, work)) in &mut desk.planners {
+        work.counted(counted.get(service).map_or(&[], Vec::as_slice));
+        work.refresh(now);
+        let listed: Vec<Listed> = upstreams
+            .iter()
+            .filter(|(u, _)| u.svc == *service)
+            .map(|(u, evacuated)| Listed {
+                holder: messages::keys::Holder { id: u.id.clone(), addr: u.addr },
+                slots: u.slots,
+                leaves: u.draining || *evacuated,
+                takes: !u.draining && !evacuated && u.warm_left_ms == 0,
+            })
+            .collect();
+        let room = if now < led_at + STALE { CALLS.saturating_sub(desk.out) } else { 0 };
+        let (changes, out) =
+            cell.with_slices(service, |slices| planner.plan(now, room, slices, &listed, work));
+        if !changes.is_empty() {
+            let takers = listed.iter().filter(|l| l.takes).count();
+            tracing::info!(changes = changes.len(), listed = listed.len(), takers, "keys");
+            cell.place(service, changes);
+        }
+        desk.out += out.len();
+        calls.extend(out.into_iter().map(|call| (service.clone(), call)));
+    }
+    desk.clients.retain(|id, _| upstreams.iter().any(|(u, _)| u.id == *id));
+    calls
+}
+
+async fn carry_out(
+    cell: Rc<Cell>,
+    desk: Rc<RefCell<Desk>>,
+    ended: Rc<Notify>,
+    service: String,
+    call: Call,
+) {
+    let client = {
+        let mut desk = desk.borrow_mut();
+        let new = || Rc::new(Client::resetting(call.holder.addr));
+        desk.clients.entry(call.holder.id.clone()).or_insert_with(new).clone()
+    };
+    let answer = asked(&client, &call).await;
+    if !matches!(answer, Answer::Done(_)) {
+        tracing::info!(?answer, id = call.holder.id, since = call.since, ask = ?call.ask, "keys");
+    }
+    let mut desk = desk.borrow_mut();
+    desk.out -= 1;
+    if let Some((planner, _)) = desk.planners.get_mut(&service) {
+        planner.answered(cell.now(), &call, answer);
+    }
+    ended.notify_one();
+}
+
+async fn asked(client: &Client, call: &Call) -> Answer {
+    let mut body = json!({"since": call.since, "target_rev": call.to, "fence": call.fence});
+    let (path, within) = match &call.ask {
+        Ask::Grant { hold, handoff } => {
+            body["hold_ms"] = json!(hold);
+            if let Some(handoff) = handoff {
+                body["handoff"] = json!(handoff);
+            }
+            ("/-/grant", CALL)
+        }
+        Ask::Release => ("/-/release", RELEASE),
+    };
+    let request = Request::post(path)
+        .header(CONTENT_TYPE, "application/json")
+        .header("target-instance", &call.holder.id)
+        .body(Full::new(Bytes::from(body.to_string())));
+    let Ok(request) = request else { return Answer::Silent };
+    match client.call(request, Instant::now() + Duration::from_millis(within)).await {
+        Ok(answer) => match answer.status() {
+            StatusCode::OK => {
+                let handoff = answer.headers().get("handoff").and_then(|v| v.to_str().ok());
+                Answer::Done(handoff.map(str::to_string))
+            }
+            StatusCode::CONFLICT => Answer::Fenced,
+            StatusCode::MISDIRECTED_REQUEST => Answer::Gone,
+            status => {
+                tracing::info!(%status, "keys");
+                Answer::Silent
+            }
+        },
+        Err(FetchError::Connect(_)) => Answer::Unsent,
+        Err(_) => Answer::Silent,
+    }
+}
--- a/crates/control-plane/src/peers.rs
+++ b/crates/control-plane/src/peers.rs
@@ -203,6 +203,7 @@
                     has = ask;
                 }
                 Word::Same => {}
+                Word::Work(counts) => cell.count(counts),
             },
             _ = changes.changed() => {}
             () = tokio::time::sleep_until(next) => {}
--- a/crates/control-plane/src/run.rs
+++ b/crates/control-plane/src/run.rs
@@ -19,7 +19,7 @@
 use crate::cell::{Cell, Ways};
 use crate::interface::{Directory, Operators};
 use crate::store::{AGAIN, Store, StoreError, set_aside};
-use crate::{peers, platform};
+use crate::{owners, peers, platform};
 
 /// Heads of calls are small.
 const HEAD: usize = 16 << 10;
@@ -117,6 +117,7 @@
     tokio::task::spawn_local(peers::call_all(cell.clone(), wanted));
     tokio::task::spawn_local(cell.clone().keep_time());
     tokio::task::spawn_local(platform::follow(cell.clone()));
+    tokio::task::spawn_local(owners::keep(cell.clone()));
     if let Some(listener) = inner {
         tokio::task::spawn_local(peers::listen(cell.clone(), listener));
     }
--- a/crates/data-plane/src/engine.rs
+++ b/crates/data-plane/src/engine.rs
@@ -16,6 +16,7 @@
 use decisions::settings::stable_hash;
 use hyper::Response;
 use hyper::header::HeaderValue;
+use messages::keys::Row;
 use rustc_hash::FxHashMap;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
@@ -70,6 +71,11 @@
         kind: ListKind,
         list: Vec<Upstream>,
     },
+    /// Who holds which keys of a service, by id, all of them.
+    Holders {
+        service: usize,
+        rows: Vec<Row>,
+    },
 }
 
 /// A request as the module needs to know it.
@@ -77,6 +83,8 @@
     pub class: usize,
     pub tenant: usize,
     pub key: Option<u64>,
+    /// Its key, where upstreams divide the keys of the service.
+    pub shard: Option<u16>,
     /// When the client gives up.
     pub until: Instant,
     pub cost_guess: Option<Span>,
@@ -181,6 +189,8 @@
 struct Service {
     balancer: Balancer,
     upstreams: Upstreams,
+    /// Who holds which keys, as told last.
+    rows: Vec<Row>,
     second_copies: bool,
     max_attempts: usize,
 }
@@ -288,7 +298,8 @@
         let seed = self.terms.seed.wrapping_add(service as u64);
         let balancer = Balancer::new(settings, seed, self.clock.now())?;
         let upstreams = Upstreams::new(self.terms.drain_grace);
-        self.services.push(Service { balancer, upstreams, second_copies, max_attempts });
+        let rows = Vec::new();
+        self.services.push(Service { balancer, upstreams, rows, second_copies, max_attempts });
         Ok(())
     }
 
@@ -350,6 +361,12 @@
                 }
             }
             Note::Members { service, kind, list } => self.listed(service, kind, &list),
+            Note::Holders { service, rows } => {
+                if let Some(known) = self.services.get_mut(service) {
+                    known.rows = rows;
+                    self.tell_holders(service);
+                }
+            }
         }
     }
 
@@ -378,6 +395,7 @@
             class: arrival.class,
             tenant: arrival.tenant,
             key: arrival.key,
+            shard: arrival.shard,
             cost_guess: arrival.cost_guess,
             resent: arrival.resent,
             ..d::Request::new(id, arrival.class, self.clock.at(until))
@@ -458,6 +476,21 @@
         }
         self.tell(service, Event::Members { kind, list: &members });
         self.services[service].upstreams.forget(&self.pool);
+        // A holder may have been told before the list that names it.
+        if !self.services[service].rows.is_empty() {
+            self.tell_holders(service);
+        }
+    }
+
+    fn tell_holders(&mut self, service: usize) {
+        let Some(known) = self.services.get(service) else { return };
+        let ids = &known.upstreams.ids;
+        let keys = |Row(since, to, holder): &Row| {
+            let server = holder.as_ref().and_then(|id| ids.get(id)).copied();
+            d::Keys { since: *since, to: *to, server }
+        };
+        let keys: Vec<d::Keys> = known.rows.iter().map(keys).collect();
+        self.tell(service, Event::Holders(&keys));
     }
 
     /// Tells the module, and carries out what it says until nothing is left to tell.
--- a/crates/data-plane/src/fetch.rs
+++ b/crates/data-plane/src/fetch.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper::header::HOST;
-use hyper::{Request, StatusCode};
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use tokio::time::timeout;
+use socket2::SockRef;
+use tokio::time::{Instant, timeout_at};
 
 use crate::upstreams::AbortOnDrop;
 use crate::watch::dial;
@@ -40,25 +41,57 @@
 /// The client.
 pub struct Client {
     address: SocketAddr,
-    kept: RefCell<Option<(SendRequest<Empty<Bytes>>, AbortOnDrop)>>,
+    host: HeaderValue,
+    /// A call that is given up leaves nothing on its way.
+    resets: bool,
+    kept: RefCell<Option<(SendRequest<Full<Bytes>>, AbortOnDrop)>>,
 }
 
 impl Client {
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, kept: RefCell::new(None) }
+        let host = HeaderValue::from_str(&address.to_string());
+        let host = host.unwrap_or(HeaderValue::from_static("upstream"));
+        Self { address, host, resets: false, kept: RefCell::new(None) }
+    }
+
+    /// One whose calls have arrived by the time they are given up, or never do.
+    pub fn resetting(address: SocketAddr) -> Self {
+        Self { resets: true, ..Self::new(address) }
     }
 
     /// The body of a 200; anything else is an error.
     pub async fn get(&self, path: &str, within: Duration) -> Result<Bytes, FetchError> {
-        timeout(within, self.exchange(path)).await.map_err(|_| FetchError::Silent)?
+        let request = Request::get(path).body(Full::default()).map_err(|_| FetchError::Body)?;
+        let answer = self.call(request, Instant::now() + within).await?;
+        match answer.status() {
+            StatusCode::OK => Ok(answer.into_body()),
+            status => Err(FetchError::Status(status)),
+        }
+    }
+
+    /// The whole answer to a request.
+    pub async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+        until: Instant,
+    ) -> Result<Response<Bytes>, FetchError> {
+        timeout_at(until, self.exchange(request)).await.map_err(|_| FetchError::Silent)?
     }
 
-    async fn exchange(&self, path: &str) -> Result<Bytes, FetchError> {
+    async fn exchange(
+        &self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, FetchError> {
         let kept = self.kept.borrow_mut().take().filter(|(sender, _)| !sender.is_closed());
         let (mut sender, connection) = match kept {
             Some(kept) => kept,
             None => {
                 let stream = dial(self.address).await.map_err(FetchError::Connect)?;
+                if self.resets {
+                    // Without it what is on its way arrives all the same, later.
+                    let linger = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                    linger.map_err(FetchError::Connect)?;
+                }
                 let (sender, connection) =
                     handshake(TokioIo::new(stream)).await.map_err(FetchError::Http)?;
                 let task = tokio::task::spawn_local(async move { drop(connection.await) });
@@ -66,13 +99,12 @@
             }
         };
         sender.ready().await.map_err(FetchError::Http)?;
-        let request = Request::get(path).header(HOST, self.address.to_string());
-        let request = request.body(Empty::new()).map_err(|_| FetchError::Body)?;
+        request.headers_mut().entry(HOST).or_insert(self.host.clone());
         let answer = sender.send_request(request).await.map_err(FetchError::Http)?;
-        let status = answer.status();
-        let body = Limited::new(answer.into_body(), LONGEST).collect().await;
+        let (head, body) = answer.into_parts();
+        let body = Limited::new(body, LONGEST).collect().await;
         let body = body.map_err(|_| FetchError::Body)?.to_bytes();
         *self.kept.borrow_mut() = Some((sender, connection));
-        if status == StatusCode::OK { Ok(body) } else { Err(FetchError::Status(status)) }
+        Ok(Response::from_parts(head, body))
     }
 }
--- a/crates/data-plane/src/routes.rs
+++ b/crates/data-plane/src/routes.rs
@@ -13,6 +13,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, StatusCode};
 use messages::config::{Config, Kind, Limits, Route};
+use messages::keys::{Counts, Held, RUN};
 use messages::settings::Settings;
 use messages::wire::{Ask, Bank, News};
 use messages::zones::{Taken, Upstream, ZoneList};
@@ -41,6 +42,8 @@
 /// Headers that mean nothing when they come twice.
 const ONCE: [&str; 4] = ["host", "content-length", "attempt-id", "deadline-ms"];
 const DEADLINE: HeaderName = HeaderName::from_static("deadline-ms");
+/// Of services whose upstreams divide their keys: the request's.
+const SHARD: HeaderName = HeaderName::from_static("shard-key");
 /// What an upstream says to the balancer only.
 const INTERNAL: [HeaderName; 2] =
     [HeaderName::from_static("upstream-load"), HeaderName::from_static("not-run")];
@@ -59,6 +62,8 @@
     classes: Vec<(String, d::Class)>,
     warmup: Duration,
     warmup_per_s: f64,
+    /// Its upstreams divide its keys.
+    sharded: bool,
 }
 
 #[derive(Default)]
@@ -67,6 +72,9 @@
     limits: Limits,
     evacuated_index: u64,
     evacuated: Vec<String>,
+    keys_index: u64,
+    /// Who holds which keys, by service.
+    keys: BTreeMap<String, Held>,
     zones: BTreeMap<String, ZoneList>,
     /// Zones of which something was told that builds on what is not here.
     wanted: BTreeSet<String>,
@@ -94,6 +102,8 @@
     turn: Cell<u32>,
     leaving: Cell<bool>,
     version: watch::Sender<u64>,
+    /// Requests for keys that upstreams divide, by service and run of keys.
+    work: RefCell<BTreeMap<usize, FxHashMap<u16, u16>>>,
     /// Holds the front to the limits that clients have.
     limited: Box<dyn Fn(&Limits)>,
 }
@@ -119,6 +129,7 @@
             turn: Cell::new(0),
             leaving: Cell::new(false),
             version: watch::channel(0).0,
+            work: RefCell::default(),
             limited,
         })
     }
@@ -153,13 +164,15 @@
             let mut services = self.services.borrow_mut();
             for s in &config.services {
                 let warmup = Duration::from_secs_f64(s.warmup_s.clamp(0.0, 86_400.0));
-                let warmup_per_s = s.warmup_per_s;
+                let (warmup_per_s, sharded) = (s.warmup_per_s, s.sharded);
+                let (name, classes) = (s.name.clone(), Vec::new());
+                let mut next = Service { name, classes, warmup, warmup_per_s, sharded };
                 match services.iter_mut().find(|k| k.name == s.name) {
-                    Some(known) => (known.warmup, known.warmup_per_s) = (warmup, warmup_per_s),
-                    None => {
-                        let (name, classes) = (s.name.clone(), Vec::new());
-                        services.push(Service { name, classes, warmup, warmup_per_s });
+                    Some(known) => {
+                        next.classes = std::mem::take(&mut known.classes);
+                        *known = next;
                     }
+                    None => services.push(next),
                 }
             }
             let mut by_host: FxHashMap<String, Vec<Rc<Open>>> = FxHashMap::default();
@@ -299,6 +312,18 @@
         }
     }
 
+    /// Tells the engine who holds which keys of these services.
+    fn tell_holders<'a>(&self, services: impl Iterator<Item = &'a String>) {
+        let told = self.told.borrow();
+        for name in services {
+            let (Some(service), Some(held)) = (self.service(name), told.keys.get(name)) else {
+                continue;
+            };
+            let rows = held.rows().cloned().collect();
+            self.engine.tell(Note::Holders { service, rows });
+        }
+    }
+
     fn service(&self, name: &str) -> Option<usize> {
         self.services.borrow().iter().position(|s| s.name == name)
     }
@@ -419,8 +444,15 @@
         let Some((service, class)) = self.part(&route) else {
             return bare(StatusCode::NOT_FOUND);
         };
-        let arrival =
-            Arrival { class, tenant: 0, key: None, until, cost_guess: None, resent: false };
+        let shard = head.headers.get(SHARD).and_then(|v| v.to_str().ok()?.trim().parse().ok());
+        let shard = shard.filter(|_| self.services.borrow()[service].sharded);
+        if let Some(key) = shard {
+            let mut work = self.work.borrow_mut();
+            let n = work.entry(service).or_default().entry(key / RUN).or_default();
+            *n = n.saturating_add(1);
+        }
+        let (key, cost_guess, resent) = (None, None, false);
+        let arrival = Arrival { class, tenant: 0, key, shard, until, cost_guess, resent };
         let forward = Forward {
             method: head.method,
             uri: head.uri,
@@ -487,6 +519,7 @@
         Ask {
             config: told.config_index,
             evacuated: told.evacuated_index,
+            keys: told.keys_index,
             zones: told.zones.iter().map(has).collect(),
             ready: told.config_index > 0 && self.engine.ready(),
             leaving: self.leaving.get(),
@@ -529,7 +562,16 @@
             before.iter().filter(|z| !zones.contains(z)).for_each(|z| self.returned(z));
             lists = true;
         }
-        let any = lists || !changed.is_empty();
+        let known = self.told.borrow().keys_index;
+        let keys = news.keys.as_ref().filter(|(index, _)| *index > known);
+        if let Some((index, services)) = keys {
+            let mut told = self.told.borrow_mut();
+            told.keys_index = *index;
+            for (service, rows) in services {
+                told.keys.entry(service.clone()).or_default().take(rows);
+            }
+        }
+        let any = lists || !changed.is_empty() || keys.is_some();
         if settings {
             self.tell_settings();
         }
@@ -538,12 +580,27 @@
         } else {
             changed.into_iter().for_each(|(zone, ids)| self.tell_changes(zone, ids));
         }
+        if settings {
+            let names: Vec<String> = self.told.borrow().keys.keys().cloned().collect();
+            self.tell_holders(names.iter());
+        } else if let Some((_, services)) = keys {
+            self.tell_holders(services.keys());
+        }
         if any {
             self.changed();
         }
         gap
     }
 
+    fn work(&self) -> Counts {
+        let work = std::mem::take(&mut *self.work.borrow_mut());
+        let services = self.services.borrow();
+        let of = |(service, runs): (usize, FxHashMap<u16, u16>)| {
+            (services[service].name.clone(), runs.into_iter().collect())
+        };
+        work.into_iter().map(of).collect()
+    }
+
     fn bank(&self, bank: Bank) {
         if self.told.borrow_mut().bank.replace(bank) != Some(bank) {
             self.tell_settings();
--- a/crates/data-plane/src/upstreams.rs
+++ b/crates/data-plane/src/upstreams.rs
@@ -355,6 +355,8 @@
         let other = dialect.target.is_some() && status == StatusCode::MISDIRECTED_REQUEST;
         let outcome = if (dialect.served)(status) {
             Outcome::Ok
+        } else if other && not_run {
+            Outcome::NotHolder
         } else if other || (not_run && dialect.refusals.contains(&status)) {
             Outcome::Full
         } else {
--- a/crates/data-plane/src/watch.rs
+++ b/crates/data-plane/src/watch.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use messages::keys::Counts;
 use messages::wire::{self, Ask, Balancer, Bank, Control, Hello, News, PROTOCOL, Word};
 use socket2::SockRef;
 use tokio::io::{AsyncWriteExt, BufReader, BufWriter};
@@ -57,6 +58,8 @@
     fn ask(&self) -> Ask;
     /// Takes news in; what is not newer changes nothing. Whether something has to be told anew.
     fn take(&self, news: &News) -> bool;
+    /// Requests that came since this was asked last, for keys that upstreams divide.
+    fn work(&self) -> Counts;
     /// The bank as the sessions tell it.
     fn bank(&self, bank: Bank);
     /// Wakes when there is something else to ask.
@@ -206,8 +209,14 @@
                         }
                         () = sleep_until(next) => {
                             let ask = self.ask(at, bank, controls);
+                            let first = !ask.second;
                             self.say(&mut writer, &mut said, ask).await?;
                             next = Instant::now() + BEAT;
+                            let work = if first { self.follower.work() } else { Counts::new() };
+                            if !work.is_empty() {
+                                wire::send(&mut writer, &Word::Work(work)).await?;
+                                timeout(SILENCE, writer.flush()).await??;
+                            }
                         }
                     }
                 }
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -422,6 +422,19 @@
     pub resent: bool,
     /// It changes something.
     pub write: bool,
+    /// Its key, where upstreams divide the keys: only the holder runs it.
+    pub shard: Option<u16>,
+}
+
+/// A run of keys, both ends inside, and the upstream that holds them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Keys {
+    /// The first.
+    pub since: u16,
+    /// The last.
+    pub to: u16,
+    /// The holder; `None` while nobody is.
+    pub server: Option<ServerId>,
 }
 
 impl Request {
@@ -436,6 +449,7 @@
             cost_guess: None,
             resent: false,
             write: false,
+            shard: None,
         }
     }
 }
@@ -449,6 +463,8 @@
     Error,
     /// Turned away unseen.
     Full,
+    /// Turned away unseen by one that does not hold its key.
+    NotHolder,
     /// No answer in time; may have run.
     Timeout,
     /// No connection; never ran.
@@ -464,7 +480,8 @@
 impl Outcome {
     /// Whether it proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+        use Outcome::*;
+        matches!(self, Full | NotHolder | ConnectFailed | Moot)
     }
 }
 
@@ -528,6 +545,8 @@
         /// Its entries.
         list: &'a [Member],
     },
+    /// Who holds which keys, all of them.
+    Holders(&'a [Keys]),
     /// A client's request has arrived: one final answer is owed.
     Request(Request),
     /// An attempt has ended.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs)]
 
 mod bank;
+mod holders;
 pub mod interface;
 pub mod policy;
 pub mod settings;
--- a/crates/decisions/src/policy/admission.rs
+++ b/crates/decisions/src/policy/admission.rs
@@ -27,6 +27,7 @@
             ended: false,
             attempts: Vec::new(),
             turn: r.key.filter(|_| class.in_order),
+            shard: r.shard,
         };
         let ahead = entry.turn.and_then(|k| self.lines.get(&k)).map_or(0, |l| l.waiting.len());
         self.requests.insert(r.id, entry);
--- a/crates/decisions/src/policy/attempts.rs
+++ b/crates/decisions/src/policy/attempts.rs
@@ -66,11 +66,14 @@
         attempt.fate = if a.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         let attempt = *attempt;
         let server = attempt.server;
-        let (class, turn) = (e.class, e.turn);
+        let (class, turn, shard) = (e.class, e.turn, e.shard);
         let may_run = matches!(a.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
         if let Some(line) = turn.filter(|_| may_run).and_then(|k| self.lines.get_mut(&k)) {
             line.rest_until = now.plus(self.settings.rules.turn_gap);
         }
+        if let Some(key) = shard {
+            self.holders.heard(now, key, &a, self.fleet.ts * PAUSE_OF_TS);
+        }
         self.learn(now, class, attempt, &a);
         self.close_idle(now, server, out);
         if a.last || a.outcome == Outcome::Ok {
@@ -189,7 +192,7 @@
             let idle = room.queued == 0 && (room.in_flight as f64) < room.slots;
             let likely = self.fleet.hopeless[e.class] > LIKELY;
             let again = asked && !a.asked && likely && idle && self.extra >= 1.0;
-            let again = again && !e.ended && !e.held && now < e.hold_until;
+            let again = again && !e.ended && !e.held && now < e.hold_until && e.shard.is_none();
             let again = again && self.order.iter().any(|&i| self.is_open(now, e, i));
             let (class, s) = (e.class, &mut self.servers[a.server]);
             // Failure: lost answers held their slots for two aims, and the fleet was refused for. What is
@@ -247,10 +250,18 @@
         }
     }
 
+    /// What has no holder is refused while that is harmless: nobody knows when there is one.
+    fn held_until(&self, now: Time, e: &Entry) -> Time {
+        let homeless = e.shard.is_some_and(|key| self.holders.of(now, key).is_none());
+        let wait = self.settings.classes[e.class].aim.f() * (1.0 - HARMLESS);
+        if homeless { e.hold_until.plus(Span::of(-wait)) } else { e.hold_until }
+    }
+
     /// Refuses what was held too long.
     pub(super) fn expire(&mut self, now: Time, out: &mut Vec<Action>) {
-        let late =
-            |id: &&RequestId| self.requests.get(id).is_some_and(|e| e.held && now >= e.hold_until);
+        let late = |id: &&RequestId| {
+            self.requests.get(id).is_some_and(|e| e.held && now >= self.held_until(now, e))
+        };
         let late: Vec<RequestId> = self.queue.iter().filter(late).copied().collect();
         for id in late {
             // One with an attempt out waited for a second; the first may still be answered.
--- a/crates/decisions/src/policy/dispatch.rs
+++ b/crates/decisions/src/policy/dispatch.rs
@@ -59,7 +59,7 @@
                 self.queue.remove(i);
                 continue;
             };
-            let fresh = e.attempts.is_empty();
+            let fresh = e.attempts.is_empty() && e.shard.is_none();
             let r = self.room_of[e.class];
             if (fresh && shut[r]) || !self.has_turn(now, id, e) {
                 i += 1;
@@ -87,9 +87,13 @@
     /// comes last. Lanes on trial are filled once the ordinary slots are all taken.
     pub(super) fn pick(&self, now: Time, id: RequestId, full: bool) -> Option<usize> {
         let e = self.requests.get(&id)?;
+        let only = e.shard.map(|key| self.holders.of(now, key));
         let mut last: Option<(bool, f64, usize)> = None;
         for &i in &self.order {
             let s = &self.servers[i];
+            if only.is_some_and(|only| only != Some(s.id)) {
+                continue;
+            }
             let trial = if full { s.trial } else { s.trial.min(0) };
             let load = f64::from(s.in_flight) + self.others(now, s);
             // Failure: in overload all that found no slot elsewhere went to the upstreams of a lost zone.
--- a/crates/decisions/src/policy/estimates.rs
+++ b/crates/decisions/src/policy/estimates.rs
@@ -14,7 +14,7 @@
 
 impl Estimate {
     /// Before any answer: as fast as the fleet's mean.
-    pub(super) const NONE: Self = Self { tp2: None, slow: 1.0 };
+    pub(crate) const NONE: Self = Self { tp2: None, slow: 1.0 };
 
     /// Takes in an answer of this latency, where the fleet's mean for its class is `mean`.
     pub(super) fn learn(&mut self, outcome: Outcome, latency: f64, mean: f64) {
--- a/crates/decisions/src/policy/members.rs
+++ b/crates/decisions/src/policy/members.rs
@@ -120,30 +120,7 @@
         let fresh = self.servers.len();
         let i = *self.by_id.entry(m.id).or_insert(fresh);
         if i == fresh {
-            self.servers.push(Server {
-                id: m.id,
-                zone: m.zone,
-                kind: m.kind.min(255),
-                cell: m.cell,
-                status: m.status,
-                weight: 1.0,
-                slots: 0,
-                silent: 0,
-                started: None,
-                identity: m.identity,
-                in_flight: 0,
-                changed: now,
-                breaker: Breaker::default(),
-                by_class: vec![Breaker::default(); self.settings.classes.len()],
-                answered: Time(i64::MIN),
-                est: Estimate::NONE,
-                pace: Pace::new(0.0, now),
-                others: 0.0,
-                told: now,
-                trial: 0,
-                reach: 0.0,
-                close_until: now,
-            });
+            self.servers.push(Server::new(m, self.settings.classes.len(), now));
         }
         // Spread over the bank: a part of the first send is already earned.
         let turn = bank::turn(self.settings.position, m.identity);
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -9,6 +9,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::bank::{self, Pace};
+use crate::holders::Holders;
 use crate::interface::*;
 use crate::state::*;
 
@@ -50,6 +51,8 @@
 const PANIC: f64 = 0.75;
 /// Share of the aim that queue and service may take to be admitted: the rest is for the spread of service.
 const HOLD_OF_AIM: f64 = 0.7;
+/// A refusal within this share of the aim leaves room for another try.
+const HARMLESS: f64 = 0.25;
 /// Part of the bearable wait that the class of least worth for its work may use.
 const LEAST_PART: f64 = 0.2;
 /// An upstream that failed so many in a row leaves the sums of K_i and N_i: one may have been a heavy one.
@@ -113,18 +116,6 @@
 
 // ------------------------------------------------------------------- state
 
-impl Breaker {
-    /// Failure: the upstreams of a lost zone, long still on the list, were tried again every few milliseconds
-    /// by every proxy, and most attempts of the bank ended there.
-    fn trip(&mut self, now: Time, pause: f64, doublings: u32) {
-        if now < self.until {
-            return; // Sent before the pause began: the same trouble, already counted.
-        }
-        self.until = now.plus(Span::of(pause * f64::from(1 << self.faults)));
-        self.faults = (self.faults + 1).min(doublings);
-    }
-}
-
 /// One proxy's share of the bank: all its decisions.
 #[derive(Debug)]
 pub struct Balancer {
@@ -148,6 +139,7 @@
     /// Whether so much of the fleet is shut to a class that it is open to it all the same.
     panic: Vec<bool>,
     fleet: Fleet,
+    holders: Holders,
     /// What each tenant may still send within its share.
     quotas: Vec<Quota>,
     ask: Asking,
@@ -181,6 +173,7 @@
             extra: 1.0,
             panic: vec![false; classes],
             fleet: Fleet::new(classes, t_qos, t_qos * TS_PRIOR_OF_QOS, LEEWAY, now),
+            holders: Holders::default(),
             quotas: settings.tenants.iter().map(|_| Quota { tokens: 1.0, counted: now }).collect(),
             ask: Asking { subscribed: false, next: now, failures: 0 },
             settings,
@@ -217,6 +210,10 @@
         }
         match event {
             Event::Members { kind, list } => self.members(now, kind, list, out),
+            Event::Holders(list) => {
+                self.holders.told(now, list);
+                self.dispatch(now, out);
+            }
             Event::Request(r) => self.request(now, r, out),
             Event::Answered(a) => self.outcome(now, a, out),
             Event::Started(id) | Event::Left(id) => self.end(id),
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -46,6 +46,8 @@
     pub(crate) attempts: Vec<Attempt>,
     /// The key whose turn it waits for.
     pub(crate) turn: Option<u64>,
+    /// The key whose holder alone may run it.
+    pub(crate) shard: Option<u16>,
 }
 
 /// The requests of one key that are to run in turn, and until when the key rests.
@@ -111,6 +113,18 @@
     }
 }
 
+impl Breaker {
+    /// Failure: the upstreams of a lost zone, long still on the list, were tried again every few milliseconds
+    /// by every proxy, and most attempts of the bank ended there.
+    pub(crate) fn trip(&mut self, now: Time, pause: f64, doublings: u32) {
+        if now < self.until {
+            return; // Sent before the pause began: the same trouble, already counted.
+        }
+        self.until = now.plus(Span::of(pause * f64::from(1 << self.faults)));
+        self.faults = (self.faults + 1).min(doublings);
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Server {
     pub(crate) id: ServerId,
@@ -147,6 +161,36 @@
     pub(crate) close_until: Time,
 }
 
+impl Server {
+    /// One of which only the list is known.
+    pub(crate) fn new(m: &Member, classes: usize, now: Time) -> Self {
+        Self {
+            id: m.id,
+            zone: m.zone,
+            kind: m.kind.min(255),
+            cell: m.cell,
+            status: m.status,
+            weight: 1.0,
+            slots: 0,
+            silent: 0,
+            started: None,
+            identity: m.identity,
+            in_flight: 0,
+            changed: now,
+            breaker: Breaker::default(),
+            by_class: vec![Breaker::default(); classes],
+            answered: Time(i64::MIN),
+            est: Estimate::NONE,
+            pace: Pace::new(0.0, now),
+            others: 0.0,
+            told: now,
+            trial: 0,
+            reach: 0.0,
+            close_until: now,
+        }
+    }
+}
+
 /// What the fleet as a whole sustains for this proxy.
 #[derive(Debug, Default)]
 pub(crate) struct Fleet {
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -198,6 +198,7 @@
             cost_guess: None,
             resent: false,
             write: false,
+            shard: None,
         }));
     }
 
--- a/crates/hollowpaddle-benchlink/src/instance.rs
+++ b/crates/hollowpaddle-benchlink/src/instance.rs
@@ -60,14 +60,12 @@
         }
         let key = m.object.as_deref();
         let request = d::Request {
-            id: RequestId(self.next_job),
-            class: m.tier_class,
             tenant: m.party,
             key: key.map(key_hash),
-            drop_dead: time(m.drop_dead),
             cost_guess: m.cost_guess.map(span),
             resent: m.resent,
             write: m.write,
+            ..d::Request::new(RequestId(self.next_job), m.tier_class, time(m.drop_dead))
         };
         let name: Box<str> = m.job.as_ref().into();
         self.by_name.insert(name.clone(), self.next_job);
--- a/crates/hollowpaddle/src/api.rs
+++ b/crates/hollowpaddle/src/api.rs
@@ -165,6 +165,7 @@
         Ok(Arrival {
             class,
             tenant,
+            shard: None,
             key: cookie(&head.headers, "sid").map(key_hash),
             until: arrived + deadline,
             cost_guess: hint.filter(|us| us.is_finite() && *us > 0.0).map(|us| Span(us as i64)),
--- a/crates/messages/src/config.rs
+++ b/crates/messages/src/config.rs
@@ -65,6 +65,9 @@
     pub warmup_s: f64,
     #[serde(default)]
     pub warmup_per_s: f64,
+    /// Its upstreams divide its keys: each runs only requests whose key it was granted.
+    #[serde(default)]
+    pub sharded: bool,
 }
 
 /// What a client may send, and how long it may take.
--- /dev/null
+++ b/crates/messages/src/keys.rs
@@ -0,0 +1,233 @@
+//! Who holds which keys of a service whose upstreams divide them: as it is agreed on, and as balancers are told.
+//! No sockets and no clock.
+//!
+//! **Promises.** The keys stand in slices that never overlap. A slice has a holder, or an upstream that has to
+//! let go of it first, or neither. Each change of a slice names the fence that it was decided on and raises it by
+//! one, so that of two changes decided on the same state one counts. A balancer's slices only get newer.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// Requests are counted by runs of so many keys: busy ones lie close together.
+pub const RUN: u16 = 16;
+
+/// How many requests came for which runs of keys, by service.
+pub type Counts = BTreeMap<String, Vec<(u16, u16)>>;
+
+/// An upstream that holds keys, or held them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    #[serde(rename = "i")]
+    pub id: String,
+    #[serde(rename = "a")]
+    pub addr: SocketAddr,
+}
+
+/// Whose a slice is.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Owned {
+    /// Nobody's, and nobody has to let go of it.
+    #[default]
+    #[serde(rename = "n")]
+    Free,
+    /// This one may be granted it, with the handover of the one before, if that gave one.
+    #[serde(rename = "h")]
+    By(Holder, Option<String>),
+    /// Nobody's until this one has let go of it.
+    #[serde(rename = "l")]
+    Leaving(Holder),
+}
+
+impl Owned {
+    /// Who may hold them.
+    pub fn of(&self) -> Option<&Holder> {
+        match self {
+            Self::By(holder, _) | Self::Leaving(holder) => Some(holder),
+            Self::Free => None,
+        }
+    }
+}
+
+/// A run of keys, from the one under which it stands to `to`, both inside.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Slice {
+    #[serde(rename = "t")]
+    pub to: u16,
+    #[serde(rename = "f")]
+    pub fence: u64,
+    /// Where in the log it was changed last.
+    #[serde(rename = "x")]
+    index: u64,
+    #[serde(rename = "o")]
+    pub owned: Owned,
+}
+
+/// A change of a slice, or of a part of one; it counts only if that slice still has the fence `was` (0: there is
+/// none yet). What is left of the slice to either side stays whose it is, under the raised fence too.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    #[serde(rename = "s")]
+    pub since: u16,
+    #[serde(rename = "t")]
+    pub to: u16,
+    #[serde(rename = "w")]
+    pub was: u64,
+    #[serde(rename = "o")]
+    pub owned: Owned,
+}
+
+/// A service's slices, as agreed on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Slices {
+    slices: BTreeMap<u16, Slice>,
+}
+
+/// What balancers are told of a slice: from, to, and the id of its holder.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row(pub u16, pub u16, pub Option<String>);
+
+impl Slices {
+    pub fn is_empty(&self) -> bool {
+        self.slices.is_empty()
+    }
+
+    /// Each with its first key.
+    pub fn all(&self) -> impl Iterator<Item = (u16, &Slice)> {
+        self.slices.iter().map(|(since, s)| (*since, s))
+    }
+
+    pub fn get(&self, since: u16) -> Option<&Slice> {
+        self.slices.get(&since)
+    }
+
+    /// Takes a change in that stands at this place of the log; whether it counts.
+    pub fn apply(&mut self, index: u64, change: &Change) -> bool {
+        let Change { since, to, was, owned } = change;
+        if since > to {
+            return false;
+        }
+        let over = self.slices.range(..=*to).next_back().filter(|(_, s)| s.to >= *since);
+        let fence = was + 1;
+        match over.map(|(first, slice)| (*first, slice.clone())) {
+            None if *was == 0 => {}
+            Some((first, slice)) if first <= *since && slice.to >= *to && slice.fence == *was => {
+                if first < *since {
+                    let left = Slice { to: since - 1, fence, index, owned: slice.owned.clone() };
+                    self.slices.insert(first, left);
+                }
+                if slice.to > *to {
+                    self.slices.insert(to + 1, Slice { fence, index, ..slice });
+                }
+            }
+            _ => return false,
+        }
+        self.slices.insert(*since, Slice { to: *to, fence, index, owned: owned.clone() });
+        true
+    }
+
+    /// What changed after this place of the log.
+    pub fn since(&self, index: u64) -> Vec<Row> {
+        let row = |(since, s): (&u16, &Slice)| {
+            let holder = match &s.owned {
+                Owned::By(holder, _) => Some(holder.id.clone()),
+                Owned::Free | Owned::Leaving(_) => None,
+            };
+            Row(*since, s.to, holder)
+        };
+        self.slices.iter().filter(|(_, s)| s.index > index).map(row).collect()
+    }
+}
+
+/// A service's slices at a balancer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Held {
+    rows: BTreeMap<u16, Row>,
+}
+
+impl Held {
+    /// Takes in what is newer than all that it has. Slices keep their bounds; where they don't, the newer stand.
+    pub fn take(&mut self, rows: &[Row]) {
+        for row in rows {
+            let Row(since, to, _) = row;
+            let over: Vec<u16> = self
+                .rows
+                .range(..=*to)
+                .rev()
+                .take_while(|(_, known)| known.1 >= *since)
+                .map(|(at, _)| *at)
+                .collect();
+            over.iter().for_each(|at| drop(self.rows.remove(at)));
+            self.rows.insert(*since, row.clone());
+        }
+    }
+
+    /// All of them, in the order of the keys.
+    pub fn rows(&self) -> impl Iterator<Item = &Row> {
+        self.rows.values()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn holder(id: &str) -> Holder {
+        Holder { id: id.into(), addr: SocketAddr::from(([10, 0, 0, 1], 80)) }
+    }
+
+    fn change(since: u16, to: u16, was: u64, owned: Owned) -> Change {
+        Change { since, to, was, owned }
+    }
+
+    #[test]
+    fn of_two_changes_decided_on_one_state_one_counts() {
+        let mut slices = Slices::default();
+        let by = |id: &str| Owned::By(holder(id), None);
+        assert!(slices.apply(1, &change(0, 99, 0, by("a"))));
+        assert!(!slices.apply(2, &change(0, 99, 0, by("b"))), "it exists by now");
+        assert!(!slices.apply(2, &change(50, 120, 0, by("b"))), "it overlaps");
+        assert!(slices.apply(2, &change(100, u16::MAX, 0, by("b"))));
+        assert!(slices.apply(3, &change(0, 99, 1, Owned::Leaving(holder("a")))));
+        assert!(!slices.apply(4, &change(0, 99, 1, by("c"))), "decided on what stood before");
+        assert!(!slices.apply(4, &change(0, 100, 2, by("c"))), "beyond the slice");
+        assert_eq!(slices.get(0).map(|s| s.fence), Some(2));
+    }
+
+    #[test]
+    fn a_slice_is_cut_where_a_part_of_it_changes_hands() {
+        let mut slices = Slices::default();
+        let by = |id: &str| Owned::By(holder(id), None);
+        slices.apply(1, &change(0, u16::MAX, 0, by("a")));
+        assert!(slices.apply(2, &change(100, 199, 1, Owned::Leaving(holder("a")))));
+        let rows = slices.since(1);
+        let a = Some("a".to_string());
+        assert_eq!(rows, [Row(0, 99, a.clone()), Row(100, 199, None), Row(200, u16::MAX, a)]);
+        assert!(!slices.apply(3, &change(0, u16::MAX, 1, by("b"))), "decided on the whole");
+        assert!(!slices.apply(3, &change(0, 99, 1, by("b"))), "the fence rose for the rest too");
+        assert!(slices.apply(3, &change(0, 99, 2, by("b"))));
+        let mut held = Held::default();
+        held.take(&[Row(0, u16::MAX, Some("a".into()))]);
+        held.take(&slices.since(1));
+        assert_eq!(held.rows().cloned().collect::<Vec<_>>(), slices.since(0));
+    }
+
+    #[test]
+    fn a_balancer_that_hears_what_changed_has_what_stands() {
+        let (mut slices, mut held) = (Slices::default(), Held::default());
+        for i in 0..16u16 {
+            let (since, to) = (i * 4096, i * 4096 + 4095);
+            slices.apply(1, &change(since, to, 0, Owned::By(holder(&format!("i-{i}")), None)));
+        }
+        held.take(&slices.since(0));
+        slices.apply(2, &change(4096, 8191, 1, Owned::Leaving(holder("i-1"))));
+        slices.apply(5, &change(4096, 8191, 2, Owned::By(holder("i-9"), Some("h".into()))));
+        let told = slices.since(1);
+        assert_eq!(told, [Row(4096, 8191, Some("i-9".into()))], "what changed, and as it is now");
+        held.take(&told);
+        assert_eq!(held.rows().cloned().collect::<Vec<_>>(), slices.since(0));
+        held.take(&[Row(4000, 9000, None)]);
+        assert_eq!(held.rows().map(|r| r.0).collect::<Vec<_>>()[..2], [4000, 12288]);
+    }
+}
--- a/crates/messages/src/settings.rs
+++ b/crates/messages/src/settings.rs
@@ -82,6 +82,8 @@
     pub ttl_max_s: f64,
     pub warmup_excess: f64,
     pub warmup_slack: f64,
+    /// Keys are granted for no longer.
+    pub max_hold_ms: u64,
 }
 
 impl Default for Bounds {
@@ -95,6 +97,7 @@
             ttl_max_s: 5.0,
             warmup_excess: 1.5,
             warmup_slack: 3.0,
+            max_hold_ms: 10_000,
         }
     }
 }
--- a/crates/messages/src/wire.rs
+++ b/crates/messages/src/wire.rs
@@ -10,10 +10,11 @@
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
+use crate::keys::{Counts, Row};
 use crate::zones::Told;
 
 /// This build's protocol. A process that speaks another is turned away by its first frame.
-pub const PROTOCOL: u32 = 2;
+pub const PROTOCOL: u32 = 3;
 /// No frame is longer: a configuration of ten thousand routes fits many times.
 pub const LONGEST: usize = 16 << 20;
 
@@ -63,6 +64,9 @@
     /// Nothing is other than it said last; it is there.
     #[serde(rename = "s")]
     Same,
+    /// Requests that came since it said so last, for keys that upstreams divide.
+    #[serde(rename = "w")]
+    Work(Counts),
 }
 
 /// A data-plane balancer asks for news of what it does not have.
@@ -74,6 +78,9 @@
     pub config: u64,
     #[serde(rename = "e")]
     pub evacuated: u64,
+    /// The place in the log of the last change that it has of who holds which keys.
+    #[serde(rename = "h", skip_serializing_if = "none")]
+    pub keys: u64,
     /// The version it has of each zone's upstreams; 0 where it wants the whole list.
     #[serde(rename = "z", skip_serializing_if = "BTreeMap::is_empty")]
     pub zones: BTreeMap<String, u64>,
@@ -112,6 +119,9 @@
     /// The zones that get nothing, and the place in the log.
     #[serde(rename = "e", skip_serializing_if = "Option::is_none")]
     pub evacuated: Option<(u64, Vec<String>)>,
+    /// What changed of who holds which keys, by service, and the place in the log.
+    #[serde(rename = "h", skip_serializing_if = "Option::is_none")]
+    pub keys: Option<(u64, BTreeMap<String, Vec<Row>>)>,
     /// Zones' upstreams.
     #[serde(rename = "z", skip_serializing_if = "BTreeMap::is_empty")]
     pub zones: BTreeMap<String, Told>,
@@ -121,6 +131,10 @@
     pub controls: Option<Vec<Control>>,
 }
 
+fn none(index: &u64) -> bool {
+    *index == 0
+}
+
 /// How many data-plane balancers there are, and which of them one is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Bank {
@@ -141,6 +155,8 @@
     Sessions { sessions: Vec<Session>, controls: Vec<Control> },
     /// Those that are other than it told last, and who serves control if that is other.
     Moved { sessions: Vec<Session>, gone: Vec<String>, controls: Option<Vec<Control>> },
+    /// What balancers counted of requests for keys that upstreams divide; told to the leader.
+    Work(Counts),
     /// It is there, and takes this one for the leader.
     Alive { leader: Option<SocketAddr> },
     /// A zone's upstreams.
--- /dev/null
+++ b/crates/placement/src/work.rs
@@ -0,0 +1,106 @@
+//! How much work the keys bring, as balancers counted it lately.
+
+use messages::keys::RUN;
+
+const RUNS: usize = (1 << 16) / RUN as usize;
+/// What was counted so many milliseconds ago weighs a third as much as what is counted now.
+const MEMORY: f64 = 5000.0;
+/// All keys together weigh at least this share more than what was counted: what nobody asked for lately may be
+/// asked for, and before the first request all weigh alike.
+const UNSEEN: f64 = 0.1;
+
+/// The work of a service's keys.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// Requests a second of each run, and as of when.
+    rates: Vec<f64>,
+    at: u64,
+    /// The sums up to each run, with what is not seen.
+    sums: Vec<f64>,
+}
+
+impl Default for Work {
+    fn default() -> Self {
+        let mut work = Self { rates: vec![0.0; RUNS], at: 0, sums: Vec::new() };
+        work.sum();
+        work
+    }
+}
+
+impl Work {
+    /// Requests that came: the run and how many.
+    pub fn counted(&mut self, counts: &[(u16, u16)]) {
+        for (run, n) in counts {
+            if let Some(rate) = self.rates.get_mut(usize::from(*run)) {
+                *rate += f64::from(*n) * 1000.0 / MEMORY;
+            }
+        }
+    }
+
+    /// As of now.
+    pub fn refresh(&mut self, now: u64) {
+        let fade = (-(now.saturating_sub(self.at) as f64) / MEMORY).exp();
+        self.rates.iter_mut().for_each(|r| *r *= fade);
+        self.at = now;
+        self.sum();
+    }
+
+    fn sum(&mut self) {
+        let total: f64 = self.rates.iter().sum();
+        let unseen = if total > 0.0 { total * UNSEEN } else { 1.0 } / RUNS as f64;
+        self.sums.clear();
+        self.sums.push(0.0);
+        let mut sum = 0.0;
+        for rate in &self.rates {
+            sum += rate + unseen;
+            self.sums.push(sum);
+        }
+    }
+
+    /// That of all keys before this one.
+    fn before(&self, key: u32) -> f64 {
+        let run = (key / u32::from(RUN)) as usize;
+        let part = f64::from(key % u32::from(RUN)) / f64::from(RUN);
+        let next = self.sums.get(run + 1).copied().unwrap_or(self.sums[run]);
+        self.sums[run] + (next - self.sums[run]) * part
+    }
+
+    /// That of the keys from `since` to `to`.
+    pub fn of(&self, since: u16, to: u16) -> f64 {
+        self.before(u32::from(to) + 1) - self.before(u32::from(since))
+    }
+
+    /// Where to cut these keys so that those from there on bring about so much; nothing if that leaves none.
+    pub fn cut(&self, since: u16, to: u16, wanted: f64) -> Option<u16> {
+        let (mut low, mut high) = (since, to);
+        while low < high {
+            let mid = low + (high - low) / 2;
+            if self.of(mid, to) > wanted { low = mid + 1 } else { high = mid }
+        }
+        (low > since).then_some(low)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn busy_keys_weigh_more_and_what_is_past_fades() {
+        let mut work = Work::default();
+        let all = work.of(0, u16::MAX);
+        assert!((work.of(0, 32767) / all - 0.5).abs() < 1e-9, "all alike");
+        work.counted(&[(100 / RUN, 50), (40_000 / RUN, 50)]);
+        work.refresh(1000);
+        let all = work.of(0, u16::MAX);
+        let busy = work.of(96, 111) / all;
+        assert!((0.4..0.5).contains(&busy), "{busy}");
+        let cut = work.cut(0, u16::MAX, all / 2.0).expect("a cut");
+        assert!((200..40_000).contains(&cut), "{cut}");
+        assert_eq!(work.cut(7, 7, 0.0), None, "one key can't be cut");
+        work.refresh(100_000);
+        work.counted(&[(5000 / RUN, 10)]);
+        work.refresh(100_100);
+        assert!(work.of(96, 111) / work.of(0, u16::MAX) < 0.01);
+    }
+}
--- /dev/null
+++ b/crates/placement/tests/simulation.rs
@@ -0,0 +1,379 @@
+//! Upstreams that crash, come back, drain and turn cold; leaders that change, and old ones that go on for a
+//! while; calls and answers that are lost or late. After each step no key has two holders that are up; once all
+//! is quiet, every key has one, and upstreams hold alike.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use messages::keys::{Change, Holder, Slices};
+use oorandom::Rand64;
+use placement::{Answer, Ask, Call, Listed, Planner, Timing, Work};
+
+const STEP: u64 = 10;
+const TIMING: Timing = Timing { hold: 400, call: 80, stale: 100, again: 30, settle: 100 };
+
+/// A run of keys that an upstream was granted, until when, and under which fence it was seen last.
+#[derive(Clone, Copy, Default)]
+struct Hold {
+    to: u16,
+    until: u64,
+    fence: u64,
+}
+
+struct Upstream {
+    up: bool,
+    leaves: bool,
+    cold_until: u64,
+    holds: BTreeMap<u16, Hold>,
+    /// Its clock runs so much slow.
+    slow: f64,
+    /// It gets nothing and says nothing.
+    cut_until: u64,
+}
+
+impl Upstream {
+    fn over(&self, since: u16, to: u16) -> Vec<(u16, Hold)> {
+        let over = |(s, h): (&u16, &Hold)| (*s <= to && h.to >= since).then_some((*s, *h));
+        self.holds.iter().filter_map(over).collect()
+    }
+
+    /// The highest fence that was seen on any of these keys.
+    fn seen(&self, since: u16, to: u16) -> u64 {
+        self.over(since, to).iter().map(|(_, h)| h.fence).max().unwrap_or(0)
+    }
+
+    /// What it holds of these keys is this from now on; the rest of what they were part of stays.
+    fn set(&mut self, since: u16, hold: Hold) {
+        for (at, old) in self.over(since, hold.to) {
+            self.holds.remove(&at);
+            if at < since {
+                self.holds.insert(at, Hold { to: since - 1, ..old });
+            }
+            if old.to > hold.to {
+                self.holds.insert(hold.to + 1, old);
+            }
+        }
+        self.holds.insert(since, hold);
+    }
+}
+
+struct Leader {
+    planner: Planner,
+    /// It does not know that another one leads, and decides on what it last knew.
+    stale: Option<Slices>,
+    confirmed: u64,
+}
+
+/// A call on its way: when it arrives (if ever) and when its answer does (if ever), and when it is given up.
+struct Way {
+    by: usize,
+    call: Call,
+    arrives: Option<u64>,
+    answers: Option<u64>,
+    given_up: u64,
+    answer: Option<Answer>,
+}
+
+struct World {
+    rng: Rand64,
+    now: u64,
+    slices: Slices,
+    index: u64,
+    upstreams: BTreeMap<String, Upstream>,
+    next_id: usize,
+    leaders: BTreeMap<usize, Leader>,
+    leads: usize,
+    ways: Vec<Way>,
+    timing: Timing,
+    work: Work,
+}
+
+impl World {
+    fn new(seed: u64, timing: Timing) -> Self {
+        let mut world = Self {
+            rng: Rand64::new(u128::from(seed)),
+            now: 1000,
+            slices: Slices::default(),
+            index: 0,
+            upstreams: BTreeMap::new(),
+            next_id: 0,
+            leaders: BTreeMap::new(),
+            leads: 0,
+            ways: Vec::new(),
+            timing,
+            work: Work::default(),
+        };
+        (0..8).for_each(|_| world.add(0));
+        world.lead();
+        world
+    }
+
+    fn chance(&mut self, one_in: u64) -> bool {
+        self.rng.rand_range(0..one_in) == 0
+    }
+
+    fn add(&mut self, cold_until: u64) {
+        self.next_id += 1;
+        let slow = 1.0 + self.rng.rand_float() * 0.02;
+        let upstream = Upstream {
+            up: true,
+            leaves: false,
+            cold_until,
+            holds: BTreeMap::new(),
+            slow,
+            cut_until: 0,
+        };
+        self.upstreams.insert(format!("i-{}", self.next_id), upstream);
+    }
+
+    /// Another one leads; the one before does not know for a while.
+    fn lead(&mut self) {
+        if let Some(before) = self.leaders.get_mut(&self.leads) {
+            before.stale = Some(self.slices.clone());
+        }
+        self.leads += 1;
+        let planner = Planner::new(self.now, self.timing);
+        let leader = Leader { planner, stale: None, confirmed: self.now };
+        self.leaders.insert(self.leads, leader);
+    }
+
+    fn listed(&self) -> Vec<Listed> {
+        let up = self.upstreams.iter().filter(|(_, u)| u.up);
+        up.map(|(id, u)| Listed {
+            holder: Holder { id: id.clone(), addr: SocketAddr::from(([10, 0, 0, 1], 80)) },
+            slots: 4,
+            leaves: u.leaves,
+            takes: !u.leaves && u.cold_until <= self.now,
+        })
+        .collect()
+    }
+
+    fn trouble(&mut self) {
+        let n = self.upstreams.len() as u64;
+        let pick = self.rng.rand_range(0..n) as usize;
+        let cut_until = self.now + self.rng.rand_range(0..900);
+        let now = self.now;
+        match self.rng.rand_range(0..6) {
+            0 => self.lead(),
+            1 => self.add(now + 300),
+            2 => {
+                // A crash; another one comes in its place.
+                if let Some(u) = self.upstreams.values_mut().nth(pick) {
+                    u.up = false;
+                }
+                self.add(now + 300);
+            }
+            3 => {
+                let spared = self.upstreams.values().filter(|u| u.up && !u.leaves).count() > 3;
+                if let Some(u) = self.upstreams.values_mut().nth(pick).filter(|_| spared) {
+                    u.leaves = true;
+                }
+            }
+            4 => {
+                if let Some(u) = self.upstreams.values_mut().nth(pick) {
+                    u.cut_until = cut_until;
+                }
+            }
+            _ => {
+                let left = self.upstreams.iter().find(|(_, u)| u.up && u.leaves);
+                let left = left.map(|(id, _)| id.clone());
+                if let Some(u) = left.and_then(|id| self.upstreams.get_mut(&id)) {
+                    // It ends; its address says so.
+                    (u.up, u.holds) = (false, BTreeMap::new());
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, trouble: bool) {
+        self.now += STEP;
+        if trouble && self.chance(12) {
+            self.trouble();
+        }
+        self.deliver(trouble);
+        let listed = self.listed();
+        let ids: Vec<usize> = self.leaders.keys().copied().collect();
+        for id in ids {
+            let Some(leader) = self.leaders.get_mut(&id) else { continue };
+            if leader.stale.is_none() && self.rng.rand_range(0..3) == 0 {
+                leader.confirmed = self.now;
+            }
+            let calls = if self.now < leader.confirmed + TIMING.stale { 16 } else { 0 };
+            let slices = leader.stale.as_ref().unwrap_or(&self.slices);
+            let (changes, calls) =
+                leader.planner.plan(self.now, calls, slices, &listed, &self.work);
+            let leads = leader.stale.is_none();
+            if leader.stale.is_some() && self.now > leader.confirmed + 2 * TIMING.stale {
+                self.leaders.remove(&id);
+            }
+            for call in calls {
+                self.send(id, call, trouble);
+            }
+            if leads {
+                self.commit(&changes, trouble);
+            }
+        }
+        self.check();
+    }
+
+    fn commit(&mut self, changes: &[Change], trouble: bool) {
+        // A proposal may be lost with its leader.
+        if trouble && self.chance(20) {
+            return;
+        }
+        self.index += 1;
+        for change in changes {
+            self.slices.apply(self.index, change);
+        }
+    }
+
+    fn send(&mut self, by: usize, call: Call, trouble: bool) {
+        let lost = |w: &mut Self| trouble && w.chance(15);
+        // In quiet times it is answered in time.
+        let most = if trouble { TIMING.call } else { TIMING.call / 2 };
+        let arrives = self.now + self.rng.rand_range(0..most);
+        let answers = arrives + self.rng.rand_range(0..most);
+        let arrives = (!lost(self)).then_some(arrives);
+        let answers = (!lost(self)).then_some(answers);
+        let given_up = self.now + TIMING.call;
+        self.ways.push(Way { by, call, arrives, answers, given_up, answer: None });
+    }
+
+    fn deliver(&mut self, trouble: bool) {
+        let now = self.now;
+        let mut rest = Vec::new();
+        for mut way in std::mem::take(&mut self.ways) {
+            if way.arrives.is_some_and(|at| at <= now) {
+                way.arrives = None;
+                way.answer = self.arrive(&way.call);
+                // A release is answered once the work has ended.
+                let work = if trouble && way.call.ask == Ask::Release { 120 } else { 1 };
+                way.answers = way.answers.map(|at| at + self.rng.rand_range(0..work));
+            }
+            let done = way.answer.is_some() && way.answers.is_some_and(|at| at <= now);
+            let patience = if way.call.ask == Ask::Release { 200 } else { 0 };
+            let answer = if done {
+                way.answer.clone()
+            } else {
+                (now >= way.given_up + patience).then_some(Answer::Silent)
+            };
+            match answer {
+                Some(answer) => {
+                    if let Some(leader) = self.leaders.get_mut(&way.by) {
+                        leader.planner.answered(now, &way.call, answer);
+                    }
+                }
+                None => rest.push(way),
+            }
+        }
+        self.ways.extend(rest);
+    }
+
+    /// What an upstream does with a call.
+    fn arrive(&mut self, call: &Call) -> Option<Answer> {
+        let now = self.now;
+        let u = self.upstreams.get_mut(&call.holder.id)?;
+        if now < u.cut_until {
+            return None;
+        }
+        if !u.up {
+            return Some(Answer::Gone);
+        }
+        let (since, to) = (call.since, call.to);
+        match &call.ask {
+            Ask::Grant { .. } if u.seen(since, to) > call.fence => Some(Answer::Fenced),
+            Ask::Grant { hold: ms, .. } => {
+                let until = now + (*ms as f64 * u.slow) as u64;
+                u.set(since, Hold { to, until, fence: call.fence });
+                Some(Answer::Done(None))
+            }
+            Ask::Release => {
+                let fence = u.seen(since, to).max(call.fence);
+                u.set(since, Hold { to, until: 0, fence });
+                Some(Answer::Done(Some("handover".into())))
+            }
+        }
+    }
+
+    fn check(&self) {
+        let mut held: Vec<(u16, u16, &str)> = Vec::new();
+        for (id, u) in self.upstreams.iter().filter(|(_, u)| u.up) {
+            let holds = u.holds.iter().filter(|(_, h)| h.until > self.now);
+            held.extend(holds.map(|(since, h)| (*since, h.to, id.as_str())));
+        }
+        held.sort();
+        for two in held.windows(2) {
+            assert!(two[0].1 < two[1].0, "at {}: two hold the same keys: {two:?}", self.now);
+        }
+    }
+}
+
+fn play(seed: u64, timing: Timing, steps: usize) -> World {
+    let mut world = World::new(seed, timing);
+    (0..steps).for_each(|_| world.step(true));
+    world
+}
+
+#[test]
+fn no_key_has_two_holders_and_in_the_end_each_has_one() {
+    for seed in 0..48 {
+        let mut world = play(seed, TIMING, 400);
+        (0..300).for_each(|_| world.step(false));
+        let mut held: BTreeMap<String, usize> = BTreeMap::new();
+        let mut keys = 0;
+        for (id, u) in world.upstreams.iter().filter(|(_, u)| u.up) {
+            for (since, hold) in u.holds.iter().filter(|(_, h)| h.until > world.now) {
+                keys += usize::from(hold.to - since) + 1;
+                *held.entry(id.clone()).or_default() += usize::from(hold.to - since) + 1;
+            }
+        }
+        assert_eq!(keys, 1 << 16, "seed {seed}: some keys are held by nobody");
+        let takes = world.listed().into_iter().filter(|l| l.takes);
+        let counts: Vec<usize> =
+            takes.map(|l| held.get(&l.holder.id).copied().unwrap_or(0)).collect();
+        let mean = keys / counts.len();
+        let fits = |n: &usize| (mean / 2 - 2..=mean * 3 / 2 + 2).contains(n);
+        assert!(counts.iter().all(fits), "seed {seed}: {counts:?}");
+    }
+}
+
+/// What the waits are for: without either, some schedule has two holders.
+#[test]
+fn each_wait_is_needed() {
+    let breaks = |timing: Timing| {
+        let quiet = std::panic::take_hook();
+        std::panic::set_hook(Box::new(|_| {}));
+        let broken =
+            (0..48).any(|seed| std::panic::catch_unwind(|| drop(play(seed, timing, 400))).is_err());
+        std::panic::set_hook(quiet);
+        broken
+    };
+    assert!(
+        breaks(Timing { stale: 0, call: 0, ..TIMING }),
+        "what may be on its way is not awaited"
+    );
+}
+
+#[test]
+fn a_drained_upstream_hands_over_and_a_crashed_one_is_waited_for() {
+    let mut world = World::new(7, TIMING);
+    (0..30).for_each(|_| world.step(false));
+    let first = "i-1".to_string();
+    world.upstreams.get_mut(&first).expect("there").leaves = true;
+    (0..30).for_each(|_| world.step(false));
+    let of = |world: &World, id: &str| {
+        world.slices.all().filter(|(_, s)| s.owned.of().is_some_and(|h| h.id == id)).count()
+    };
+    assert_eq!(of(&world, &first), 0, "a release is answered at once");
+    let handed =
+        |s: &messages::keys::Slice| matches!(&s.owned, messages::keys::Owned::By(_, Some(_)));
+    assert!(world.slices.all().filter(|(_, s)| handed(s)).count() >= 2, "with its handover");
+    // Cut off, and still listed: its grants have to run out.
+    world.upstreams.get_mut("i-2").expect("there").cut_until = u64::MAX;
+    let before = world.now;
+    while of(&world, "i-2") > 0 {
+        world.step(false);
+        assert!(world.now < before + 2 * (TIMING.hold + TIMING.call), "for ever");
+    }
+    assert!(world.now > before + TIMING.hold - TIMING.hold / 4);
+}
