--- a/crates/control-plane/src/interface.rs
+++ b/crates/control-plane/src/interface.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, LOCATION};
 use hyper::{Method, Request, Response, StatusCode};
+use messages::keys::{Owned, Slices};
 use messages::wire::{LONGEST, Session};
 use serde_json::json;
 use tokio::time::{Instant, timeout};
@@ -134,6 +135,17 @@
             json!({"node": s.balancer.node, "zone": s.balancer.zone, "http": s.balancer.http,
                 "ready": s.ready, "leaving": s.leaving})
         };
+        let keys = |(service, slices): (&String, &Slices)| {
+            let (mut held, mut leaving) = (BTreeMap::<&str, u32>::new(), 0);
+            for (_, slice) in slices.all() {
+                match &slice.owned {
+                    Owned::By(holder, _) => *held.entry(&holder.id).or_default() += 1,
+                    Owned::Leaving(_) | Owned::Free => leaving += 1,
+                }
+            }
+            let all = slices.all().count();
+            (service.clone(), json!({"slices": all, "leaving": leaving, "held": held}))
+        };
         let sessions: Vec<_> = self.cell.members().iter().map(session).collect();
         answer(
             StatusCode::OK,
@@ -142,7 +154,8 @@
                 "leader": self.cell.leader(), "commit": core.commit, "last": core.last,
                 "voters": members.voters.values().collect::<Vec<_>>(),
                 "learners": members.learners.values().collect::<Vec<_>>(),
-                "rev": agreed.rev, "evacuated": agreed.evacuated, "balancers": sessions}),
+                "rev": agreed.rev, "evacuated": agreed.evacuated, "balancers": sessions,
+                "keys": agreed.keys.iter().map(keys).collect::<BTreeMap<_, _>>()}),
         )
     }
 
--- a/crates/decisions/tests/told.rs
+++ b/crates/decisions/tests/told.rs
@@ -263,3 +263,40 @@
         }
     }
 }
+
+/// Where upstreams divide the keys: the holder alone gets a request, which waits for a holder for a quarter of its
+/// aim and holds nobody else up.
+#[test]
+fn a_request_with_a_key_goes_to_its_holder_or_nowhere() {
+    let mut host = Host::new(settings(), &[told(0, 2, 0), told(1, 2, 0), told(2, 2, 0)]);
+    let keys = |since, to, server: Option<u32>| Keys { since, to, server: server.map(ServerId) };
+    let all = [keys(0, 99, Some(2)), keys(100, 199, None), keys(200, u16::MAX, Some(1))];
+    host.tell(Event::Holders(&all));
+    let ask = |host: &mut Host, key: u16| {
+        host.next += 1;
+        let id = RequestId(host.next);
+        let request = Request::new(id, 0, host.now.plus(Span(600 * MS)));
+        (id, host.tell(Event::Request(Request { shard: Some(key), ..request })))
+    };
+    let to = |actions: &[Action]| {
+        actions.iter().find_map(|a| match a {
+            Action::Send { server, .. } => Some(server.0),
+            _ => None,
+        })
+    };
+    let (mine, sent) = ask(&mut host, 7);
+    assert_eq!(to(&sent), Some(2));
+    let (homeless, sent) = ask(&mut host, 150);
+    assert_eq!(to(&sent), None, "nobody holds it");
+    assert_eq!(to(&ask(&mut host, 4000).1), Some(1), "others don't wait behind it");
+    // The holder says that it is not: another one may be by now, so it waits for news.
+    let no = Answer::new(mine, 0, ServerId(2), Outcome::NotHolder, Span(2 * MS), false);
+    assert_eq!(to(&host.tell(Event::Answered(no))), None, "not sent there again at once");
+    host.now = host.now.plus(Span(10 * MS));
+    let moved = [keys(0, 99, Some(0)), all[1], all[2]];
+    assert_eq!(to(&host.tell(Event::Holders(&moved))), Some(0), "the news of the next holder");
+    host.now = host.now.plus(Span(50 * MS));
+    let swept = host.tell(Event::Timer(1));
+    let refused = |a: &Action| matches!(a, Action::Refuse { request, .. } if *request == homeless);
+    assert!(swept.iter().any(refused), "a quarter of its aim has passed: {swept:?}");
+}
