--- a/crates/data-plane/src/engine.rs
+++ b/crates/data-plane/src/engine.rs
@@ -2,7 +2,7 @@
 //! every event in the order it came, and carries out its actions in the order it gave them. Decides nothing,
 //! and does not know who brings the lists and the settings.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::net::SocketAddr;
@@ -16,7 +16,7 @@
 use decisions::settings::stable_hash;
 use hyper::Response;
 use hyper::header::HeaderValue;
-use messages::keys::Row;
+use messages::keys::{RUN, Row};
 use rustc_hash::FxHashMap;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
@@ -103,9 +103,18 @@
     notes: mpsc::UnboundedSender<Note>,
     next: Cell<u64>,
     ready: Rc<Cell<bool>>,
+    work: Rc<RefCell<Work>>,
 }
 
+/// How long upstreams were at requests for keys that they divide, by service and run of keys.
+type Work = FxHashMap<(usize, u16), Duration>;
+
 impl Handle {
+    /// The work since this was asked last.
+    pub fn work(&self) -> Work {
+        std::mem::take(&mut *self.work.borrow_mut())
+    }
+
     /// Whether there is anywhere to send to.
     pub fn ready(&self) -> bool {
         self.ready.get()
@@ -151,6 +160,7 @@
 /// A request that is owed an answer, or has attempts out.
 struct Held {
     service: usize,
+    shard: Option<u16>,
     forward: Rc<Forward>,
     /// Taken by the final answer.
     reply: Option<oneshot::Sender<Reply>>,
@@ -225,6 +235,7 @@
     /// another's.
     next_upstream: u32,
     ready: Rc<Cell<bool>>,
+    work: Rc<RefCell<Work>>,
 }
 
 /// The module's clock: monotonic, and set once to Unix time so that the list's times need no further
@@ -265,7 +276,13 @@
     pub fn new(terms: Terms, pool: Rc<Pool>) -> (Self, Handle) {
         let (own_notes, notes) = mpsc::unbounded_channel();
         let ready = Rc::new(Cell::new(false));
-        let handle = Handle { notes: own_notes.clone(), next: Cell::new(0), ready: ready.clone() };
+        let work = Rc::new(RefCell::default());
+        let handle = Handle {
+            notes: own_notes.clone(),
+            next: Cell::new(0),
+            ready: ready.clone(),
+            work: Rc::clone(&work),
+        };
         let engine = Self {
             terms,
             services: Vec::new(),
@@ -279,6 +296,7 @@
             pool,
             next_upstream: 0,
             ready,
+            work,
         };
         (engine, handle)
     }
@@ -381,6 +399,7 @@
         let until = arrival.until - self.terms.headroom;
         let held = Held {
             service,
+            shard: arrival.shard,
             forward: Rc::new(forward),
             reply: Some(reply),
             live: Rc::new(Cell::new(true)),
@@ -423,13 +442,20 @@
         true
     }
 
-    fn ended(&mut self, id: RequestId, attempt: usize, ended: Ended) {
+    fn ended(&mut self, id: RequestId, attempt: usize, mut ended: Ended) {
         let Some(held) = self.requests.get_mut(&id) else { return };
+        if ended.outcome == Outcome::NotHolder && held.shard.is_none() {
+            // Nobody holds anything there: it is another upstream than was meant.
+            ended.outcome = Outcome::Full;
+        }
         let Some(tried) = held.attempts.get_mut(attempt) else { return };
         tried.task = None;
         let (server, latency) = (tried.server, tried.sent.elapsed());
         held.last = Some(ended.outcome);
         let service = held.service;
+        if let Some(key) = held.shard.filter(|_| ended.outcome != Outcome::NotHolder) {
+            *self.work.borrow_mut().entry((service, key / RUN)).or_default() += latency;
+        }
         // The first whole answer is the client's; one that comes after the end is dropped.
         match ended.response {
             Some(response) if ended.outcome == Outcome::Ok => {
--- a/crates/data-plane/src/routes.rs
+++ b/crates/data-plane/src/routes.rs
@@ -13,7 +13,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, StatusCode};
 use messages::config::{Config, Kind, Limits, Route};
-use messages::keys::{Counts, Held, RUN};
+use messages::keys::{Counts, Held, SPENT_MS};
 use messages::settings::Settings;
 use messages::wire::{Ask, Bank, News};
 use messages::zones::{Taken, Upstream, ZoneList};
@@ -102,8 +102,6 @@
     turn: Cell<u32>,
     leaving: Cell<bool>,
     version: watch::Sender<u64>,
-    /// Requests for keys that upstreams divide, by service and run of keys.
-    work: RefCell<BTreeMap<usize, FxHashMap<u16, u16>>>,
     /// Holds the front to the limits that clients have.
     limited: Box<dyn Fn(&Limits)>,
 }
@@ -129,7 +127,6 @@
             turn: Cell::new(0),
             leaving: Cell::new(false),
             version: watch::channel(0).0,
-            work: RefCell::default(),
             limited,
         })
     }
@@ -446,11 +443,6 @@
         };
         let shard = head.headers.get(SHARD).and_then(|v| v.to_str().ok()?.trim().parse().ok());
         let shard = shard.filter(|_| self.services.borrow()[service].sharded);
-        if let Some(key) = shard {
-            let mut work = self.work.borrow_mut();
-            let n = work.entry(service).or_default().entry(key / RUN).or_default();
-            *n = n.saturating_add(1);
-        }
         let (key, cost_guess, resent) = (None, None, false);
         let arrival = Arrival { class, tenant: 0, key, shard, until, cost_guess, resent };
         let forward = Forward {
@@ -593,12 +585,14 @@
     }
 
     fn work(&self) -> Counts {
-        let work = std::mem::take(&mut *self.work.borrow_mut());
         let services = self.services.borrow();
-        let of = |(service, runs): (usize, FxHashMap<u16, u16>)| {
-            (services[service].name.clone(), runs.into_iter().collect())
-        };
-        work.into_iter().map(of).collect()
+        let mut counts = Counts::new();
+        for ((service, run), took) in self.engine.work() {
+            let spent = (took.as_millis() / u128::from(SPENT_MS)).min(u128::from(u16::MAX));
+            let of = counts.entry(services[service].name.clone()).or_default();
+            of.push((run, spent as u16));
+        }
+        counts
     }
 
     fn bank(&self, bank: Bank) {
--- a/crates/data-plane/src/watch.rs
+++ b/crates/data-plane/src/watch.rs
@@ -58,7 +58,7 @@
     fn ask(&self) -> Ask;
     /// Takes news in; what is not newer changes nothing. Whether something has to be told anew.
     fn take(&self, news: &News) -> bool;
-    /// Requests that came since this was asked last, for keys that upstreams divide.
+    /// The work on keys that upstreams divide, since this was asked last.
     fn work(&self) -> Counts;
     /// The bank as the sessions tell it.
     fn bank(&self, bank: Bank);
--- a/crates/decisions/src/policy/attempts.rs
+++ b/crates/decisions/src/policy/attempts.rs
@@ -250,9 +250,11 @@
         }
     }
 
-    /// What has no holder is refused while that is harmless: nobody knows when there is one.
+    /// What has no holder, or was turned away by it, is refused while that is harmless: nobody knows when there is
+    /// another.
     fn held_until(&self, now: Time, e: &Entry) -> Time {
-        let homeless = e.shard.is_some_and(|key| self.holders.of(now, key).is_none());
+        let tried = |id| e.attempts.iter().any(|a| self.servers[a.server].id == id);
+        let homeless = e.shard.is_some_and(|key| self.holders.of(now, key).is_none_or(tried));
         let wait = self.settings.classes[e.class].aim.f() * (1.0 - HARMLESS);
         if homeless { e.hold_until.plus(Span::of(-wait)) } else { e.hold_until }
     }
--- a/crates/decisions/src/policy/dispatch.rs
+++ b/crates/decisions/src/policy/dispatch.rs
@@ -91,7 +91,9 @@
         let mut last: Option<(bool, f64, usize)> = None;
         for &i in &self.order {
             let s = &self.servers[i];
-            if only.is_some_and(|only| only != Some(s.id)) {
+            let tried = e.attempts.iter().any(|a| a.server == i);
+            // Failure: where no holder had its keys any more, each request went to its own twice.
+            if only.is_some_and(|only| only != Some(s.id) || tried) {
                 continue;
             }
             let trial = if full { s.trial } else { s.trial.min(0) };
@@ -106,7 +108,6 @@
             if shut || now < s.breaker.until || !self.may_send(now, id, e, i) {
                 continue;
             }
-            let tried = e.attempts.iter().any(|a| a.server == i);
             if s.slots == 0 && !tried {
                 return Some(i);
             }
--- a/crates/decisions/tests/told.rs
+++ b/crates/decisions/tests/told.rs
@@ -293,6 +293,7 @@
     let no = Answer::new(mine, 0, ServerId(2), Outcome::NotHolder, Span(2 * MS), false);
     assert_eq!(to(&host.tell(Event::Answered(no))), None, "not sent there again at once");
     host.now = host.now.plus(Span(10 * MS));
+    assert_eq!(to(&host.tell(Event::Holders(&all))), None, "told the same again");
     let moved = [keys(0, 99, Some(0)), all[1], all[2]];
     assert_eq!(to(&host.tell(Event::Holders(&moved))), Some(0), "the news of the next holder");
     host.now = host.now.plus(Span(50 * MS));
--- a/crates/messages/src/keys.rs
+++ b/crates/messages/src/keys.rs
@@ -10,10 +10,12 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Requests are counted by runs of so many keys: busy ones lie close together.
+/// Work is counted by runs of so many keys: busy ones lie close together.
 pub const RUN: u16 = 16;
+/// And in units of so many milliseconds that an upstream was at it.
+pub const SPENT_MS: u64 = 10;
 
-/// How many requests came for which runs of keys, by service.
+/// How much work there was on which runs of keys, by service.
 pub type Counts = BTreeMap<String, Vec<(u16, u16)>>;
 
 /// An upstream that holds keys, or held them.
--- a/crates/messages/src/wire.rs
+++ b/crates/messages/src/wire.rs
@@ -64,7 +64,7 @@
     /// Nothing is other than it said last; it is there.
     #[serde(rename = "s")]
     Same,
-    /// Requests that came since it said so last, for keys that upstreams divide.
+    /// The work on keys that upstreams divide, since it said so last.
     #[serde(rename = "w")]
     Work(Counts),
 }
@@ -155,7 +155,7 @@
     Sessions { sessions: Vec<Session>, controls: Vec<Control> },
     /// Those that are other than it told last, and who serves control if that is other.
     Moved { sessions: Vec<Session>, gone: Vec<String>, controls: Option<Vec<Control>> },
-    /// What balancers counted of requests for keys that upstreams divide; told to the leader.
+    /// What balancers counted of the work on keys that upstreams divide; told to the leader.
     Work(Counts),
     /// It is there, and takes this one for the leader.
     Alive { leader: Option<SocketAddr> },
--- a/crates/placement/src/work.rs
+++ b/crates/placement/src/work.rs
@@ -1,6 +1,7 @@
-//! How much work the keys bring, as balancers counted it lately.
+//! How much work the keys bring, as balancers counted it lately: how many requests an upstream has at a time for
+//! them, on the average. What is slow, or waits, at the one that holds a key weighs more.
 
-use messages::keys::RUN;
+use messages::keys::{RUN, SPENT_MS};
 
 const RUNS: usize = (1 << 16) / RUN as usize;
 /// What was counted so many milliseconds ago weighs a third as much as what is counted now.
@@ -12,7 +13,7 @@
 /// The work of a service's keys.
 #[derive(Clone, Debug)]
 pub struct Work {
-    /// Requests a second of each run, and as of when.
+    /// Requests that are there at a time for each run, and as of when.
     rates: Vec<f64>,
     at: u64,
     /// The sums up to each run, with what is not seen.
@@ -28,11 +29,11 @@
 }
 
 impl Work {
-    /// Requests that came: the run and how many.
+    /// Work that was done: the run and how much.
     pub fn counted(&mut self, counts: &[(u16, u16)]) {
         for (run, n) in counts {
             if let Some(rate) = self.rates.get_mut(usize::from(*run)) {
-                *rate += f64::from(*n) * 1000.0 / MEMORY;
+                *rate += f64::from(*n) * SPENT_MS as f64 / MEMORY;
             }
         }
     }
