Reckon a grant's time from its plan; test when a leader surely led

A grant was given up 0.8 s after its turn came, and reckoned with from its plan: a busy leader could have sent one some milliseconds later than reckoned. Tests: led_at goes by the sending, not by the answer (fails with the time of the answer); of two leaders that place the same keys one is heard.

--- a/crates/agreement/tests/start.rs
+++ b/crates/agreement/tests/start.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use agreement::{Core, Members, Message, Role, Snapshot, Stored, Timing};
+use agreement::{Body, Core, Members, Message, Role, Snapshot, Stored, Timing};
 
 const TIMING: Timing = Timing { heartbeat: 300, election: 1000 };
 const STEP: u64 = 10;
@@ -76,3 +76,48 @@
         assert_eq!((wait, latest), (0, term), "seed {seed}");
     }
 }
+
+/// A leader knows that it led when it sent what a majority has answered, not when the answers came.
+#[test]
+fn a_leader_surely_led_when_it_sent_what_a_majority_answered() {
+    let voters = (1..=5).map(|id| (id, id.to_string())).collect();
+    let snapshot = Snapshot::of_founders(Members { voters, ..Members::default() });
+    let stored = Stored { snapshot: Some(snapshot), ..Stored::default() };
+    let mut core = Core::new(1, TIMING, 7, stored, Members::default());
+    let says = |core: &mut Core, from, body| {
+        let term =
+            core.status().term + u64::from(matches!(body, Body::VoteReply { pre: true, .. }));
+        core.receive(Message { from, to: 1, term, body });
+    };
+    // The rounds that it has sent by `now`.
+    let rounds = |core: &mut Core, now| {
+        core.tick(now);
+        let out = core.take();
+        out.save.iter().for_each(|s| core.saved(s.seq));
+        let sent = out.send.into_iter().chain(core.take().send);
+        let round = |m: Message| match m.body {
+            Body::Append { round, .. } => Some(round),
+            _ => None,
+        };
+        sent.filter_map(round).collect::<Vec<u64>>()
+    };
+    rounds(&mut core, 500);
+    for pre in [true, false] {
+        for from in [2, 3] {
+            says(&mut core, from, Body::VoteReply { pre, granted: true });
+        }
+        rounds(&mut core, 500);
+    }
+    assert_eq!((core.status().role, core.led_at()), (Role::Leader, None), "nobody has answered");
+    let first = *rounds(&mut core, 900).last().expect("a heartbeat");
+    let second = *rounds(&mut core, 1250).last().expect("another");
+    assert!(second > first);
+    let answer = |round| Body::AppendReply { ok: true, index: 0, round };
+    says(&mut core, 2, answer(first));
+    assert_eq!(core.led_at(), None, "two of five are no majority");
+    says(&mut core, 3, answer(first));
+    assert_eq!(core.led_at(), Some(900), "answered late, it was sent then");
+    says(&mut core, 4, answer(second));
+    says(&mut core, 2, answer(second));
+    assert_eq!(core.led_at(), Some(1250));
+}
--- a/crates/control-plane/src/configuration.rs
+++ b/crates/control-plane/src/configuration.rs
@@ -449,4 +449,23 @@
         assert_eq!(agreed.apply(8, &late), Verdict::Raced);
         assert_eq!(agreed.evacuated["b"], 1);
     }
+
+    #[test]
+    fn of_two_leaders_that_place_the_same_keys_one_is_heard() {
+        use messages::keys::{Holder, Owned};
+        let mut agreed = first();
+        let place = |was: u64, id: &str| {
+            let addr = std::net::SocketAddr::from(([10, 0, 0, 1], 80));
+            let owned = Owned::By(Holder { id: id.into(), addr }, None);
+            let changes = vec![Change { since: 0, to: u16::MAX, was, owned }];
+            Command::Place { service: "s".into(), changes }
+        };
+        assert_eq!(agreed.apply(7, &place(0, "a")), Verdict::Taken);
+        assert_eq!(agreed.apply(8, &place(0, "b")), Verdict::Raced, "decided on what was before");
+        assert_eq!(agreed.keys_index, 7);
+        assert_eq!(agreed.apply(9, &place(1, "b")), Verdict::Taken);
+        assert_eq!((agreed.keys_index, agreed.config_index), (9, 1));
+        let holder = agreed.keys["s"].get(0).and_then(|s| s.owned.of()).map(|h| h.id.as_str());
+        assert_eq!(holder, Some("b"));
+    }
 }
--- a/crates/control-plane/src/owners.rs
+++ b/crates/control-plane/src/owners.rs
@@ -51,14 +51,11 @@
 pub async fn keep(cell: Rc<Cell>) {
     let (desk, ended) = (Rc::new(RefCell::new(Desk::default())), Rc::new(Notify::new()));
     loop {
+        // What is planned now must not arrive later than was reckoned with, however late its turn comes.
+        let now = Instant::now();
         for (service, call) in plan(&cell, &mut desk.borrow_mut()) {
-            tokio::task::spawn_local(carry_out(
-                cell.clone(),
-                desk.clone(),
-                ended.clone(),
-                service,
-                call,
-            ));
+            let (cell, desk, ended) = (cell.clone(), desk.clone(), ended.clone());
+            tokio::task::spawn_local(carry_out(cell, desk, ended, service, call, now));
         }
         if timeout(EVERY, ended.notified()).await.is_ok() {
             sleep(GATHER).await;
@@ -132,13 +129,14 @@
     ended: Rc<Notify>,
     service: String,
     call: Call,
+    planned: Instant,
 ) {
     let client = {
         let mut desk = desk.borrow_mut();
         let new = || Rc::new(Client::resetting(call.holder.addr));
         desk.clients.entry(call.holder.id.clone()).or_insert_with(new).clone()
     };
-    let answer = asked(&client, &call).await;
+    let answer = asked(&client, &call, planned).await;
     if !matches!(answer, Answer::Done(_)) {
         tracing::info!(?answer, id = call.holder.id, since = call.since, ask = ?call.ask, "keys");
     }
@@ -150,7 +148,7 @@
     ended.notify_one();
 }
 
-async fn asked(client: &Client, call: &Call) -> Answer {
+async fn asked(client: &Client, call: &Call, planned: Instant) -> Answer {
     let mut body = json!({"since": call.since, "target_rev": call.to, "fence": call.fence});
     let (path, within) = match &call.ask {
         Ask::Grant { hold, handoff } => {
@@ -167,7 +165,7 @@
         .header("target-instance", &call.holder.id)
         .body(Full::new(Bytes::from(body.to_string())));
     let Ok(request) = request else { return Answer::Silent };
-    match client.call(request, Instant::now() + Duration::from_millis(within)).await {
+    match client.call(request, planned + Duration::from_millis(within)).await {
         Ok(answer) => match answer.status() {
             StatusCode::OK => {
                 let handoff = answer.headers().get("handoff").and_then(|v| v.to_str().ok());
