--- a/crates/decisions/src/policy/attempts.rs
+++ b/crates/decisions/src/policy/attempts.rs
@@ -250,8 +250,8 @@
         }
     }
 
-    /// What has no holder, or was turned away by it, is refused while that is harmless: nobody knows when there is
-    /// another.
+    /// What has no holder, or was turned away by it, is refused while that is harmless: nobody knows when
+    /// there is another.
     fn held_until(&self, now: Time, e: &Entry) -> Time {
         let tried = |id| e.attempts.iter().any(|a| self.servers[a.server].id == id);
         let homeless = e.shard.is_some_and(|key| self.holders.of(now, key).is_none_or(tried));
