Hold further tries to each balancer's part of the fleet's budget

Cause: nothing kept the rule's budget (retry_ratio x requests + retry_slack in retry_window_s, all balancers together). Every request that was turned away went to a second upstream, and copies of late ones were earned at 0.3 a first try, above the ratio of 0.2. It held so far because few upstreams turn requests away at a time.

Change: `decisions::bank::Budget`: a balancer sends further tries within the ratio of its own requests of the window and its even part of the slack, so that the sum holds without a word between them; what may not be sent on is refused at once. Figures come from the settings; without them nothing is bounded.

Tests: a window slid over the budget's use; a balancer half of whose requests are turned away (fails without).

--- a/crates/data-plane/src/routes.rs
+++ b/crates/data-plane/src/routes.rs
@@ -14,7 +14,7 @@
 use hyper::{Request, StatusCode};
 use messages::config::{Config, Kind, Limits, Route};
 use messages::keys::{Counts, Held, SPENT_MS};
-use messages::settings::Settings;
+use messages::settings::{Bounds, Settings};
 use messages::wire::{Ask, Bank, News};
 use messages::zones::{Taken, Upstream, ZoneList};
 use rustc_hash::FxHashMap;
@@ -94,8 +94,8 @@
     by_host: RefCell<FxHashMap<String, Vec<Rc<Open>>>>,
     /// When an upstream started, as first told.
     started: RefCell<FxHashMap<String, SystemTime>>,
-    /// What cold upstreams bear in one second above their pace: times it, and requests.
-    warmup: (f64, f64),
+    /// Figures of the rules.
+    bounds: Bounds,
     /// The services whose upstreams the engine was told of one by one.
     placed: RefCell<FxHashMap<String, usize>>,
     start: Instant,
@@ -121,7 +121,7 @@
             services: RefCell::default(),
             by_host: RefCell::default(),
             started: RefCell::default(),
-            warmup: (settings.bounds.warmup_excess, settings.bounds.warmup_slack),
+            bounds: settings.bounds.clone(),
             placed: RefCell::default(),
             start: Instant::now(),
             turn: Cell::new(0),
@@ -242,9 +242,13 @@
         settings.rules.cold_per_s = service.warmup_per_s;
         // In one second a bank sends what it earns in that and in the wait. Half of the slack is left for
         // sends that arrive together.
-        let (excess, slack) = self.warmup;
+        let (excess, slack) = (self.bounds.warmup_excess, self.bounds.warmup_slack);
         let wait = (excess - 1.0).max(0.0) + slack / 2.0 / service.warmup_per_s.max(0.1);
         settings.rules.cold_wait = Span((wait.min(60.0) * 1e6) as i64);
+        settings.rules.retry_window =
+            Span((self.bounds.retry_window_s.clamp(0.0, 3600.0) * 1e6) as i64);
+        settings.rules.retry_ratio = self.bounds.retry_ratio;
+        settings.rules.retry_slack = self.bounds.retry_slack;
         settings.prices.cross_zone = 1.0;
         settings
     }
--- a/crates/decisions/src/bank.rs
+++ b/crates/decisions/src/bank.rs
@@ -72,10 +72,91 @@
     }
 }
 
+/// The window of the budget for further tries is counted in so many pieces.
+const PIECES: i64 = 10;
+
+/// A balancer's part of what all may send beyond the first try of each request: a share of its own requests of
+/// late, and its even part of the rest. Parts add up to the whole, whatever each balancer gets.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Budget {
+    /// By their number modulo the pieces kept: which it is, its requests and its further tries.
+    pieces: [(i64, u32, u32); PIECES as usize + 1],
+}
+
+impl Budget {
+    fn piece(&mut self, now: Time, rules: &Rules) -> &mut (i64, u32, u32) {
+        let n = now.0 / (rules.retry_window.0 / PIECES).max(1);
+        let piece = &mut self.pieces[n.rem_euclid(PIECES + 1) as usize];
+        if piece.0 != n {
+            *piece = (n, 0, 0);
+        }
+        piece
+    }
+
+    pub(crate) fn requested(&mut self, now: Time, rules: &Rules) {
+        self.piece(now, rules).1 += 1;
+    }
+
+    pub(crate) fn tried_again(&mut self, now: Time, rules: &Rules) {
+        self.piece(now, rules).2 += 1;
+    }
+
+    /// Whether one more further try is within this balancer's part. Tries are counted over a
+    /// piece more than the window, requests over no more than it.
+    pub(crate) fn allows(&self, now: Time, settings: &Settings) -> bool {
+        let rules = &settings.rules;
+        if rules.retry_window.0 <= 0 {
+            return true;
+        }
+        let n = now.0 / (rules.retry_window.0 / PIECES).max(1);
+        let kept = |age: i64| self.pieces.iter().filter(move |p| (0..age).contains(&(n - p.0)));
+        let tries: u32 = kept(PIECES + 1).map(|p| p.2).sum();
+        let requests: u32 = kept(PIECES).map(|p| p.1).sum();
+        let part = rules.retry_slack / f64::from(settings.balancers.max(1));
+        f64::from(tries) + 1.0 <= rules.retry_ratio * f64::from(requests) + part
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    #[test]
+    fn further_tries_in_any_window_stay_within_the_part() {
+        let mut settings = Settings::basic(vec![Class::safe(Span(1), Span(1))]);
+        settings.balancers = 10;
+        let rules = &mut settings.rules;
+        (rules.retry_ratio, rules.retry_window) = (0.2, Span(10_000_000));
+        rules.retry_slack = 30.0;
+        let rules = &settings.rules;
+        let (mut budget, mut requests, mut tries) = (Budget::default(), Vec::new(), Vec::new());
+        let mut step = |ms: i64, asks: bool| {
+            let now = Time(ms * 1000);
+            if asks {
+                budget.requested(now, rules);
+                requests.push(ms);
+            }
+            while budget.allows(now, &settings) {
+                budget.tried_again(now, rules);
+                tries.push(ms);
+            }
+        };
+        // Twenty a second, then none for a while, then twenty again.
+        (0..60_000).step_by(50).for_each(|ms| step(ms, !(15_000..40_000).contains(&ms)));
+        let within = |of: &[i64], from: i64| {
+            of.iter().filter(|ms| (from..from + 10_000).contains(*ms)).count()
+        };
+        for from in (0..50_000).step_by(10) {
+            // Requests of the window before count where there were more.
+            let asked = within(&requests, from).max(within(&requests, from - 10_000));
+            let most = 0.2 * asked as f64 + 3.0;
+            assert!(within(&tries, from) as f64 <= most, "{from}: {}", within(&tries, from));
+        }
+        assert!(within(&tries, 0) >= 30, "and it is used");
+        settings.rules.retry_window = Span(0);
+        assert!(Budget::default().allows(Time(0), &settings), "where no rule says so");
+    }
+
     #[test]
     fn turns_are_even_over_a_bank_at_every_upstream() {
         for identity in [0u64, 1 << 40, u64::MAX / 3, u64::MAX] {
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -152,6 +152,13 @@
     pub drain_close: Span,
     /// How long a key rests after an attempt of an ordered class that may still be running.
     pub turn_gap: Span,
+    /// Within any such time all balancers together may send requests a further time, as many as the next two
+    /// say; zero where no rule says so.
+    pub retry_window: Span,
+    /// A share of the requests of that time,
+    pub retry_ratio: f64,
+    /// and so many more.
+    pub retry_slack: f64,
 }
 
 /// What things cost, each per first try, in shares of all worth.
@@ -292,6 +299,9 @@
                 ask_every: Span(0),
                 drain_close: Span(0),
                 turn_gap: Span(0),
+                retry_window: Span(0),
+                retry_ratio: 0.0,
+                retry_slack: 0.0,
             },
             prices: Prices::default(),
             mix: ScoringMix { whole: 1.0, ..ScoringMix::default() },
--- a/crates/decisions/src/policy/admission.rs
+++ b/crates/decisions/src/policy/admission.rs
@@ -29,6 +29,7 @@
             turn: r.key.filter(|_| class.in_order),
             shard: r.shard,
         };
+        self.fleet.budget.requested(now, &self.settings.rules);
         let ahead = entry.turn.and_then(|k| self.lines.get(&k)).map_or(0, |l| l.waiting.len());
         self.requests.insert(r.id, entry);
         let in_share = self.in_share(now, r.tenant);
--- a/crates/decisions/src/policy/attempts.rs
+++ b/crates/decisions/src/policy/attempts.rs
@@ -28,6 +28,9 @@
         if e.ended || now >= e.drop_dead || e.attempts.len() >= most.min(limits.max_attempts) {
             return false;
         }
+        if !e.attempts.is_empty() && !self.fleet.budget.allows(now, &self.settings) {
+            return false;
+        }
         let there = |a: &Attempt| a.fate == Fate::Out && a.server == server;
         if e.out() && (!limits.second_copies || e.attempts.iter().any(there)) {
             return false;
--- a/crates/decisions/src/policy/dispatch.rs
+++ b/crates/decisions/src/policy/dispatch.rs
@@ -150,6 +150,8 @@
         self.count_in_flight(server, 1);
         if first {
             self.extra = (self.extra + EXTRA).min(self.rooms[0].slots.max(1.0));
+        } else {
+            self.fleet.budget.tried_again(now, &self.settings.rules);
         }
         out.push(Action::Send { request: id, server: self.servers[server].id, timeout });
     }
--- a/crates/decisions/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -316,6 +316,9 @@
                 ask_every: span(facts.safety.ask_every),
                 drain_close: span(facts.safety.drain_close),
                 turn_gap: span(facts.safety.turn_gap),
+                retry_window: Span(0),
+                retry_ratio: 0.0,
+                retry_slack: 0.0,
             },
             prices: d::Prices {
                 cross_zone: facts.prices.cross_zone,
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -3,7 +3,7 @@
 
 use std::collections::VecDeque;
 
-use crate::bank::{Others, Pace};
+use crate::bank::{Budget, Others, Pace};
 use crate::interface::*;
 use crate::policy::{Estimate, Lanes};
 
@@ -214,6 +214,8 @@
     pub(crate) leeway: f64,
     pub(crate) good: f64,
     pub(crate) others: Others,
+    /// Further tries that it may still make.
+    pub(crate) budget: Budget,
     /// Answers of warm upstreams, a decaying count by kind; and the highest rate of them per unit of weight
     /// that was seen lately, by kind and over all.
     pub(crate) warm_served: Vec<f64>,
--- a/crates/decisions/tests/told.rs
+++ b/crates/decisions/tests/told.rs
@@ -113,6 +113,42 @@
     assert!((4..=6).contains(&sent), "{sent} sent in a second");
 }
 
+#[test]
+fn what_is_turned_away_is_sent_on_within_this_balancers_part_of_the_budget() {
+    let mut settings = settings();
+    settings.balancers = 10;
+    (settings.rules.retry_window, settings.rules.retry_ratio) = (Span(10_000 * MS), 0.2);
+    settings.rules.retry_slack = 20.0;
+    let list: Vec<Member> = (0..40).map(|i| told(i, 4, 0)).collect();
+    let mut host = Host::new(settings, &list);
+    let (mut firsts, mut further) = (0, 0);
+    // One in two is turned away at first, everywhere: more than may be sent on.
+    for n in 0..100 {
+        let (id, server) = host.ask(0);
+        host.now = host.now.plus(Span(50 * MS));
+        let Some(server) = server else { continue };
+        firsts += 1;
+        let outcome = if n % 2 == 0 { Outcome::Full } else { Outcome::Ok };
+        let last = outcome == Outcome::Ok;
+        let answer = Answer::new(id, 0, server, outcome, Span(MS), last);
+        let actions = host.tell(Event::Answered(answer));
+        let again = |a: &Action| matches!(a, Action::Send { request, .. } if *request == id);
+        if actions.iter().any(again) {
+            further += 1;
+            host.tell(Event::Left(id));
+        } else if !last {
+            let refused =
+                |a: &Action| matches!(a, Action::Refuse { request, .. } if *request == id);
+            assert!(actions.iter().any(refused), "not run, and refused at once: {actions:?}");
+        }
+    }
+    assert!(firsts > 90, "{firsts}");
+    assert!(
+        (12..=22).contains(&further),
+        "{further}: a fifth of {firsts}, and 20 over ten balancers"
+    );
+}
+
 #[test]
 fn settings_change_in_service_and_classes_keep_their_index() {
     let mut host = Host::new(settings(), &[told(0, 2, 0)]);
--- a/crates/messages/src/settings.rs
+++ b/crates/messages/src/settings.rs
@@ -84,6 +84,11 @@
     pub warmup_slack: f64,
     /// Keys are granted for no longer.
     pub max_hold_ms: u64,
+    /// Of the requests for a service within such a time, this share may be sent a further time, and so many
+    /// more, by all balancers together; no bound where the time is 0.
+    pub retry_window_s: f64,
+    pub retry_ratio: f64,
+    pub retry_slack: f64,
 }
 
 impl Default for Bounds {
@@ -98,6 +103,9 @@
             warmup_excess: 1.5,
             warmup_slack: 3.0,
             max_hold_ms: 10_000,
+            retry_window_s: 0.0,
+            retry_ratio: 0.0,
+            retry_slack: 0.0,
         }
     }
 }
