--- a/crates/control-plane/src/interface.rs
+++ b/crates/control-plane/src/interface.rs
@@ -23,7 +23,7 @@
 use crate::configuration::{Command, Verdict};
 
 /// The version that an order builds on.
-const BASE: HeaderName = HeaderName::from_static("base-version");
+pub const BASE: HeaderName = HeaderName::from_static("base-version");
 /// A caller moves on after a second of silence: an order that has no majority by then is unclear.
 const ORDER: Duration = Duration::from_millis(900);
 /// Half of that second: who is answered within it was still there.
--- a/crates/shorefront/tests/whole_path.rs
+++ b/crates/shorefront/tests/whole_path.rs
@@ -365,6 +365,70 @@
     system.keeper = Some(keeper);
 }
 
+#[test]
+fn an_operator_changes_drains_and_looks_by_command() {
+    let system = System::start("commands");
+    let file = system.folder.join("config.json");
+    let run = |args: &[&str]| -> (Option<i32>, String) {
+        let mut command = Command::new(PROGRAM);
+        let command = command.args(args).args(["--at", &system.ctl.to_string()]);
+        let done = command.env_remove("SHOREFRONT_SETTINGS").output().expect("run");
+        let said = [done.stdout, done.stderr].concat();
+        (done.status.code(), String::from_utf8_lossy(&said).into_owned())
+    };
+    let write = |config: &Value| std::fs::write(&file, config.to_string()).expect("written");
+    let name = file.to_str().expect("a name");
+    let config = |rev: u64, svc: &str| {
+        json!({"rev": rev, "services": [{"name": "one"}],
+            "routes": [{"name": "r", "host": "h", "path_prefix": "/p/", "type": "mutating",
+                "deadline_ms": 5000, "target_ms": 1000, "svc": svc, "tries": 2}]})
+    };
+    write(&config(5, "one"));
+    let taken =
+        wait("a leader", || Some(run(&["config", "replace", name])).filter(|r| r.0 == Some(0)));
+    assert!(taken.1.contains("version 5 is in force, on top of 0"), "{}", taken.1);
+    assert_eq!(run(&["config", "replace", name, "--base", "0"]).0, Some(0), "sent again unchanged");
+    let (status, said) = run(&["config", "get", "--output", "json"]);
+    assert_eq!((status, serde_json::from_str(&said).ok()), (Some(0), Some(config(5, "one"))));
+
+    write(&json!({"rev": 7, "upsert": {"services": [{"name": "two"}]}}));
+    assert_eq!(run(&["config", "amend", name]).0, Some(0));
+    write(&config(9, "one"));
+    let (status, said) = run(&["config", "diff", name]);
+    assert_eq!(status, Some(0), "{said}");
+    assert!(said.contains("rev 7 -> 9") && said.contains("- services two"), "{said}");
+    let (status, said) = run(&["config", "replace", name, "--base", "5"]);
+    assert!(status == Some(3) && said.contains("version 7"), "{status:?} {said}");
+
+    write(&config(9, "nobody"));
+    for what in [["config", "check", name], ["config", "replace", name]] {
+        let (status, said) = run(&what);
+        assert!(status != Some(0) && said.contains("unknown service `nobody`"), "{said}");
+    }
+    std::fs::write(&file, "{\"rev\"").expect("written");
+    assert!(run(&["config", "replace", name]).1.contains("not JSON"));
+    assert!(run(&["config", "get", "--patience=-1"]).1.contains("--patience"));
+
+    assert!(run(&["drain", "begin", "a"]).1.contains("evacuated (1 times)"));
+    let (status, said) = run(&["status"]);
+    assert_eq!(status, Some(0), "{said}");
+    for part in ["CONTROL", "leader", "zone a is evacuated", "BALANCER", "edge-1"] {
+        assert!(said.contains(part), "no {part}: {said}");
+    }
+    assert!(run(&["drain", "finish", "a"]).1.contains("not evacuated"));
+    let (status, said) = run(&["drain", "begin", "nowhere"]);
+    assert!(status == Some(3) && said.contains("no zone"), "{status:?} {said}");
+
+    // Nobody is there: nothing says what became of it.
+    let gone = free_port().to_string();
+    let asked = ["config", "get", "--patience", "0.2", "--at"];
+    let nobody = Command::new(PROGRAM).args(asked).arg(format!("127.0.0.1:{gone}")).output();
+    assert_eq!(nobody.expect("run").status.code(), Some(4));
+    let unnamed = Command::new(PROGRAM).arg("status").env_remove("SHOREFRONT_SETTINGS").output();
+    let said = unnamed.expect("run").stderr;
+    assert!(String::from_utf8_lossy(&said).contains("--at"));
+}
+
 #[test]
 fn settings_that_cannot_be_used_name_the_file_the_field_and_the_line() {
     let folder = folder("settings");
