Cut the log by bytes too: 80 configurations of 1,000 routes filled a 64 MB disk

Cause: the log was cut after 256 entries, whatever their size.

Seen: a test that writes 80 such entries: the file grew to 71,569,408 bytes. Ruled out: `redb` not giving pages back (with the cut in place the same file stays under 16 MB).

Change: cut after 2 MB of orders as well. Test: the file stays under 16 MB with small and with large entries; fails without the bound.

--- a/crates/control-plane/src/cell.rs
+++ b/crates/control-plane/src/cell.rs
@@ -29,8 +29,10 @@
 pub const ELECTION: u64 = 1000;
 /// The log's clock.
 const TICK: Duration = Duration::from_millis(50);
-/// The log is cut after so many entries.
-const COMPACT: usize = 256;
+/// The log is cut after so many entries, or bytes of orders in them: large configurations must not fill the
+/// disk before there are many.
+pub const COMPACT: usize = 256;
+pub const COMPACT_BYTES: usize = 2 << 20;
 /// Control balancers tell each other their sessions this often, changed or not.
 pub const TELL: Duration = Duration::from_millis(1000);
 /// One that has said nothing for so long is lost, and its sessions and its cell with it.
@@ -107,6 +109,8 @@
     core: Core,
     agreed: Agreed,
     applied: u64,
+    /// Bytes of the orders that the log holds.
+    logged: usize,
     /// Orders under way, by their place in the log, with the term they were written in.
     orders: BTreeMap<u64, (u64, oneshot::Sender<Verdict>)>,
     reads: FxHashMap<u64, oneshot::Sender<Option<u64>>>,
@@ -168,6 +172,7 @@
                 core,
                 agreed: Agreed::default(),
                 applied: 0,
+                logged: 0,
                 orders: BTreeMap::new(),
                 reads: FxHashMap::default(),
                 next_read: 0,
@@ -287,6 +292,7 @@
             let waiting = inner.orders.remove(&entry.index);
             match entry.payload {
                 Payload::Data(data) => {
+                    inner.logged += data.len();
                     let command = ciborium::from_reader::<Command, _>(&data[..]);
                     let verdict = match &command {
                         Ok(command) => inner.agreed.apply(entry.index, command),
@@ -320,12 +326,13 @@
                 let _ = waiting.send(index);
             }
         }
-        if inner.core.log_len() > COMPACT {
+        if inner.core.log_len() > COMPACT || inner.logged > COMPACT_BYTES {
             let mut data = Vec::new();
             let kept = Kept { form: KEPT, agreed: inner.agreed.clone() };
             let written = ciborium::into_writer(&kept, &mut data).is_ok();
             let applied = inner.applied;
             if let Some(snapshot) = inner.core.compact(applied, data).filter(|_| written) {
+                inner.logged = 0;
                 let _ = self.ways.disk.send(Order::Compact(snapshot));
             }
         }
--- a/crates/control-plane/src/store.rs
+++ b/crates/control-plane/src/store.rs
@@ -312,6 +312,7 @@
     use redb::StorageBackend;
 
     use super::*;
+    use crate::cell::{COMPACT, COMPACT_BYTES};
 
     pub(crate) fn folder(name: &str) -> PathBuf {
         let folder = std::env::temp_dir().join(format!("shorefront-{name}-{}", std::process::id()));
@@ -417,6 +418,36 @@
         let _ = std::fs::remove_dir_all(&at);
     }
 
+    /// However long it lives: with many small entries, and with configurations of 1,000 routes.
+    #[test]
+    fn the_file_stays_small_for_life() {
+        for (bytes, batch, writes) in [(300, 64, 64), (300 << 10, 1, 80)] {
+            let at = folder(&format!("small-{bytes}"));
+            let store = Store::open(&at).expect("a file");
+            store.found(7, &Members::default()).expect("written");
+            let (mut index, mut kept, mut entries_kept, mut largest) = (0, 0, 0, 0);
+            for seq in 0..writes {
+                let entries = (1..=batch).map(|i| {
+                    let payload = Payload::Data(vec![seq as u8; bytes]);
+                    Entry { term: 1, index: index + i, payload }
+                });
+                store.write(&[save(seq, 1, entries.collect())]).expect("written");
+                index += batch;
+                kept += bytes * batch as usize;
+                entries_kept += batch as usize;
+                if kept > COMPACT_BYTES || entries_kept > COMPACT {
+                    (kept, entries_kept) = (0, 0);
+                    let members = Members::default();
+                    let snapshot = Snapshot { index, term: 1, members, data: vec![7; bytes] };
+                    store.write(&[Order::Compact(snapshot)]).expect("written");
+                }
+                largest = std::fs::metadata(at.join(NAME)).map_or(0, |m| m.len()).max(largest);
+            }
+            assert!(largest < 16 << 20, "entries of {bytes} bytes: {largest}");
+            let _ = std::fs::remove_dir_all(&at);
+        }
+    }
+
     /// A file on a disk that may refuse.
     #[derive(Debug)]
     struct Refusing(redb::backends::FileBackend);
