Leave the room for bursts to first tries; repeats may fill the even part

Cause: where a service has too few upstreams, clients that had been refused came back and took the places of first tries, which were refused for it and came back in turn.

Change: a repeat is admitted while the even part of N_i has room. Who is a repeat shows in `Deadline-Ms`: a quarter of the target less than the longest that clients of the route have had of late.

Tests: repeats and first tries at one balancer; who is a repeat; parts.

--- a/crates/data-plane/src/routes.rs
+++ b/crates/data-plane/src/routes.rs
@@ -39,6 +39,12 @@
 /// The start of a cold spell is told in whole pieces of news; moved by less than this it is the same one.
 const SAME_START: Duration = Duration::from_millis(1000);
 
+/// How much time clients have at first is known for so long: some tries of each.
+const MEMORY: Duration = Duration::from_secs(30);
+/// A client that has so much less, as a share of the route's target, has been refused or has waited elsewhere:
+/// a connection takes less.
+const LOST_OF_TARGET: u32 = 4;
+
 /// Headers that mean nothing when they come twice.
 const ONCE: [&str; 4] = ["host", "content-length", "attempt-id", "deadline-ms"];
 const DEADLINE: HeaderName = HeaderName::from_static("deadline-ms");
@@ -54,6 +60,29 @@
     deadline: Duration,
     /// Its services by index, the class it is there, and the weight.
     parts: Vec<(usize, usize, u32)>,
+    /// A client that has lost so much of its time came before.
+    lost: Duration,
+    longest: Longest,
+}
+
+/// The longest time that clients of a route say they have, of late: that of first tries.
+#[derive(Default)]
+struct Longest {
+    /// In this span and the one before, and when this one began.
+    seen: Cell<(Duration, Duration, Option<Instant>)>,
+}
+
+impl Longest {
+    fn seen(&self, now: Instant, told: Duration) -> Duration {
+        let (mut own, mut before, since) = self.seen.get();
+        let since = since.filter(|since| now < *since + MEMORY).unwrap_or_else(|| {
+            (own, before) = (Duration::ZERO, own);
+            now
+        });
+        own = own.max(told);
+        self.seen.set((own, before, Some(since)));
+        own.max(before)
+    }
 }
 
 /// A service and the routes that are its classes; an index keeps its meaning for good.
@@ -188,7 +217,9 @@
                     parts.push((s, c, weight));
                 }
                 let deadline = Duration::from_millis(route.deadline_ms);
-                let open = Open { prefix: route.path_prefix.clone(), deadline, parts };
+                let lost = Duration::from_millis(route.target_ms) / LOST_OF_TARGET;
+                let (prefix, longest) = (route.path_prefix.clone(), Longest::default());
+                let open = Open { prefix, deadline, parts, lost, longest };
                 by_host.entry(route.host.to_ascii_lowercase()).or_default().push(Rc::new(open));
             }
             for routes in by_host.values_mut() {
@@ -417,12 +448,13 @@
         let Some(route) = self.route(host, head.uri.path()) else {
             return bare(StatusCode::NOT_FOUND);
         };
-        let deadline = match head.headers.get(DEADLINE) {
-            None => route.deadline,
+        let (deadline, resent) = match head.headers.get(DEADLINE) {
+            None => (route.deadline, false),
             Some(told) => {
                 let ms = told.to_str().ok().and_then(|v| v.trim().parse::<u64>().ok());
                 let Some(ms) = ms.filter(|ms| *ms > 0) else { return malformed("Deadline-Ms") };
-                route.deadline.min(Duration::from_millis(ms))
+                let deadline = route.deadline.min(Duration::from_millis(ms));
+                (deadline, route.longest.seen(arrived, deadline) > deadline + route.lost)
             }
         };
         let until = arrived + deadline;
@@ -447,7 +479,7 @@
         };
         let shard = head.headers.get(SHARD).and_then(|v| v.to_str().ok()?.trim().parse().ok());
         let shard = shard.filter(|_| self.services.borrow()[service].sharded);
-        let (key, cost_guess, resent) = (None, None, false);
+        let (key, cost_guess) = (None, None);
         let arrival = Arrival { class, tenant: 0, key, shard, until, cost_guess, resent };
         let forward = Forward {
             method: head.method,
@@ -613,3 +645,22 @@
         self.changed();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_longest_time_that_clients_have_is_that_of_the_last_two_spans() {
+        let (longest, start) = (Longest::default(), Instant::now());
+        let seen = |after_s: u64, told_ms: u64| {
+            let now = start + Duration::from_secs(after_s);
+            longest.seen(now, Duration::from_millis(told_ms)).as_millis()
+        };
+        assert_eq!(seen(0, 4000), 4000);
+        assert_eq!(seen(1, 12_000), 12_000);
+        assert_eq!(seen(2, 10_500), 12_000, "it came before");
+        assert_eq!(seen(31, 4000), 12_000, "of the span before");
+        assert_eq!(seen(62, 4000), 4000, "clients have less time by now");
+    }
+}
--- a/crates/decisions/src/bank.rs
+++ b/crates/decisions/src/bank.rs
@@ -18,6 +18,19 @@
     (f64::from(position) * GOLDEN + identity as f64 / u64::MAX as f64).fract()
 }
 
+/// A balancer has so many times the root of its even part of the slots beside them for bursts, which outlast a
+/// slot: all but a few in a hundred fit. Failure: a hundred balancers with even parts under one slot refused a
+/// third beside a half idle fleet.
+const BURST: f64 = 2.0;
+
+/// A balancer's share of the slots of a bank, at so many even parts of them; and the share of that which is not
+/// there for bursts.
+pub(crate) fn part(slots: f64, leeway: f64, balancers: u32) -> (f64, f64) {
+    let even = slots * leeway / f64::from(balancers);
+    let part = ((even + BURST * even.sqrt()) / slots.max(1.0)).min(1.0);
+    (part, if even < slots * part { even / (slots * part) } else { 1.0 })
+}
+
 /// Sends to a cold upstream that a balancer has earned, one at most.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Pace {
@@ -167,6 +180,15 @@
         }
     }
 
+    #[test]
+    fn a_part_holds_the_even_one_and_bursts_and_one_balancer_has_all() {
+        let (share, even) = part(330.0, 1.2, 86);
+        assert!((share * 330.0 - 8.9).abs() < 0.1, "{share}");
+        assert!((even * share * 330.0 - 4.6).abs() < 0.1, "{even}");
+        assert_eq!(part(330.0, 1.2, 1), (1.0, 1.0));
+        assert_eq!(part(0.0, 1.2, 86), (0.0, 1.0), "nothing to share");
+    }
+
     #[test]
     fn what_was_told_makes_way_for_what_is_usual() {
         let at = |ms: i64| Time(ms * 1000);
--- a/crates/decisions/src/policy/admission.rs
+++ b/crates/decisions/src/policy/admission.rs
@@ -34,7 +34,7 @@
         self.requests.insert(r.id, entry);
         let in_share = self.in_share(now, r.tenant);
         let starts = now.plus(Span::of(ahead as f64 * self.fleet.mean[r.class]));
-        if !self.admits(r.class, in_share) || starts >= hold_until {
+        if !self.admits(r.class, in_share, r.resent) || starts >= hold_until {
             self.refuse(r.id, out);
             return;
         }
@@ -49,11 +49,14 @@
     /// The paper's check: queued plus in-flight stay under the sum of N_i. T_QoS is one for all, the wait
     /// that even the tightest class can bear, or long aims would fill the queue and starve short ones;
     /// classes worth less for their work get a smaller part of it.
-    pub(super) fn admits(&self, class: usize, in_share: bool) -> bool {
+    pub(super) fn admits(&self, class: usize, in_share: bool, resent: bool) -> bool {
         // Failure: a tenant that sent three times its share took the others' part of a full fleet.
         let part = if in_share { self.fleet.part[class] } else { 0.0 };
         let room = &self.rooms[self.room_of[class]];
+        // Failure: in overload the room for bursts went to repeats, who can only be late, and first tries were
+        // refused for it and came again.
         let n = room.n_per_time * (self.fleet.ts + self.fleet.bearable * part);
+        let n = if resent { n * room.even } else { n };
         // With no list yet there is no N to sum: hold until an upstream shows or time is up.
         n == 0.0 || ((room.queued + room.in_flight) as f64) < n.max(1.0)
     }
--- a/crates/decisions/src/policy/estimates.rs
+++ b/crates/decisions/src/policy/estimates.rs
@@ -218,9 +218,9 @@
             let live = |s: &&Server| s.status == Status::Live && self.counts(&self.rooms[r], s);
             let sum = |(k, n), s: &Server| (k + self.k_exact(s), n + self.n_rate(s));
             let (k, n) = self.servers.iter().filter(live).fold((0.0, 0.0), sum);
-            let even = k * self.fleet.leeway / f64::from(self.settings.balancers);
-            let part = ((even + BURST * even.sqrt()) / k.max(1.0)).min(1.0);
+            let (part, even) = bank::part(k, self.fleet.leeway, self.settings.balancers);
             (self.rooms[r].slots, self.rooms[r].n_per_time) = (k * part, n * part);
+            self.rooms[r].even = even;
         }
         self.count_rooms();
         let (order, servers) = (&mut self.order, &self.servers);
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -76,9 +76,6 @@
 const OWNER_PACE: f64 = 1.0 / 3.0;
 /// A proxy starts with so many times its even part of the bank's slots: clients are never spread evenly.
 const LEEWAY: f64 = 1.2;
-/// And so many times the root of that for bursts, which outlast a slot: all but a few in a hundred fit.
-/// Failure: a hundred proxies with even parts under one slot refused a third beside a half idle fleet.
-const BURST: f64 = 2.0;
 /// Each answer at the limit moves that by so much.
 const LEEWAY_GAIN: f64 = 0.02;
 /// An answer that took so many times as long as in good times was crowded: one more in its way makes it two.
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -71,6 +71,8 @@
     /// This proxy's part of the sum of K_i, and of the sum of 1 / (2*TP_i + TS_i), over live upstreams.
     pub(crate) slots: f64,
     pub(crate) n_per_time: f64,
+    /// The share of these that is not there for bursts.
+    pub(crate) even: f64,
 }
 
 /// A tenant's share at this proxy, as a bucket of requests.
--- a/crates/decisions/tests/told.rs
+++ b/crates/decisions/tests/told.rs
@@ -149,6 +149,34 @@
     );
 }
 
+#[test]
+fn the_room_for_bursts_is_for_first_tries() {
+    // Two upstreams of 20 slots over 10 balancers: an even part of 4.8, leeway included, and 4.4 for bursts.
+    let host = || {
+        let mut settings = settings();
+        settings.balancers = 10;
+        let mut host = Host::new(settings, &[told(0, 20, 0), told(1, 20, 0)]);
+        host.tell(Event::Timer(1));
+        host
+    };
+    let admitted = |host: &mut Host, resent: bool| {
+        let mut ask = || {
+            host.next += 1;
+            let id = RequestId(host.next);
+            let request = Request::new(id, 0, host.now.plus(Span(600 * MS)));
+            let actions = host.tell(Event::Request(Request { resent, ..request }));
+            !actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+        };
+        (0..100).filter(|_| ask()).count()
+    };
+    let (mut one, mut other) = (host(), host());
+    let (firsts, repeats) = (admitted(&mut one, false), admitted(&mut other, true));
+    let share = repeats as f64 / firsts as f64;
+    assert!((0.45..0.6).contains(&share), "{repeats} repeats, {firsts} first tries");
+    assert_eq!(admitted(&mut one, true), 0, "beside first tries that fill it all");
+    assert_eq!(admitted(&mut other, false), firsts - repeats, "beside as many repeats as may be");
+}
+
 #[test]
 fn settings_change_in_service_and_classes_keep_their_index() {
     let mut host = Host::new(settings(), &[told(0, 2, 0)]);
