Tell what is counted: requests by route and outcome, versions, leader, sessions

Cause: whoever operates the system saw log lines only. Nothing told how many requests were refused, how long answers took, or that a balancer was behind.

Change: `/-/metrics` on `readiness` (data plane) and `ctl` (control), by `prometheus-client`. A route's counters stand beside the route, so that no request costs a look-up by name; control writes its gauges out when asked. Ways weighed: a global recorder (several balancers stand in one process in tests), an own port (the platform gives none).

Tests: counting and what goes with its route; both addresses against real processes. No decision changes.

--- a/crates/control-plane/src/cell.rs
+++ b/crates/control-plane/src/cell.rs
@@ -520,6 +520,14 @@
         Some(all)
     }
 
+    /// How many upstreams are known of each zone.
+    pub fn upstreams_by_zone(&self) -> Vec<(String, usize)> {
+        let (inner, now) = (self.inner.borrow(), self.clock().0);
+        let zones = self.settings.zone_map.keys();
+        let known = |zone: &String| inner.zones.get(zone).map_or(0, |z| z.upstreams(now).count());
+        zones.map(|zone| (zone.clone(), known(zone))).collect()
+    }
+
     /// The place in the log of the configuration, and the services in it whose upstreams divide their keys, if
     /// it is another place than `known`.
     pub fn sharded(&self, known: u64) -> Option<(u64, Vec<String>)> {
--- a/crates/control-plane/src/interface.rs
+++ b/crates/control-plane/src/interface.rs
@@ -88,6 +88,9 @@
         match (request.method(), path.as_str()) {
             (&Method::GET, "/-/Config.Read") => self.read().await,
             (&Method::GET, "/-/Status") => self.status(),
+            (&Method::GET, "/-/metrics") => {
+                data_plane::metrics::answer(crate::metrics::text(&self.cell))
+            }
             (&Method::POST, "/-/Config.Replace") => self.config(request, false).await,
             (&Method::POST, "/-/Config.Amend") => self.config(request, true).await,
             (&Method::POST, path) => {
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`platform`]: the list of upstreams, asked for by the one cell that keeps a zone.
 //! - [`owners`]: where upstreams divide a service's keys, the leader grants them what `placement` plans.
 //! - [`interface`]: what operators and clients ask: configurations, drains, the directory.
+//! - [`metrics`]: how things stand, for whoever watches.
 //! - [`operator`]: the other side of it: an order is sent until its answer is clear.
 //!
 //! **Promises.** What was acknowledged is on the disks of a majority. **Neighbours down.** Without a majority
@@ -17,6 +18,7 @@
 pub mod cell;
 pub mod configuration;
 pub mod interface;
+pub mod metrics;
 pub mod operator;
 pub mod owners;
 pub mod peers;
--- /dev/null
+++ b/crates/control-plane/src/metrics.rs
@@ -0,0 +1,43 @@
+//! How things stand at a control balancer, for whoever watches it: written out when asked for.
+
+use agreement::Role;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+use crate::cell::Cell;
+
+/// All of it as Prometheus reads it.
+pub fn text(cell: &Cell) -> String {
+    let (core, members) = cell.status();
+    let agreed = cell.agreed();
+    let sessions = cell.members();
+    let mut registry = Registry::with_prefix("shorefront_control");
+    let mut tell = |name: &str, help: &str, value: u64| {
+        let gauge: Gauge = Gauge::default();
+        gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+        registry.register(name, help, gauge);
+    };
+    tell("leads", "1 at the leader of the log", u64::from(core.role == Role::Leader));
+    tell("has_leader", "1 where a leader is known", u64::from(core.leader.is_some()));
+    tell("term", "Term of the log", core.term);
+    tell("commit", "Place in the log up to which a majority has it", core.commit);
+    tell("last", "Last place in the log here", core.last);
+    tell("voters", "Members that vote", members.voters.len() as u64);
+    tell("learners", "Members that are catching up", members.learners.len() as u64);
+    tell("configuration_version", "`rev` that is agreed on", agreed.rev);
+    tell("evacuated_zones", "Zones whose upstreams get nothing", agreed.evacuated.len() as u64);
+    tell("balancers", "Balancers whose session stands somewhere", sessions.len() as u64);
+    let ready = sessions.iter().filter(|s| s.ready && !s.leaving).count();
+    tell("balancers_ready", "Those that clients are sent to", ready as u64);
+    let upstreams: Family<Vec<(String, String)>, Gauge> = Family::default();
+    for (zone, known) in cell.upstreams_by_zone() {
+        upstreams.get_or_create(&vec![("zone".to_string(), zone)]).set(known as i64);
+    }
+    registry.register("upstreams", "Upstreams known, by zone", upstreams);
+    let mut text = String::new();
+    // Writing to memory does not fail.
+    let _ = encode(&mut text, &registry);
+    text
+}
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -4,7 +4,7 @@
 //! a gate (`routes`, or a program's own) finds what a request is and asks the [`engine`], which feeds the
 //! decision module and carries out its actions; [`upstreams`] makes the attempts, each an exchange on one
 //! connection. [`watch`] brings news from
-//! the control plane. Everything runs on one thread; only the engine touches the modules.
+//! the control plane, [`metrics`] tells what was counted. Everything runs on one thread; only the engine touches the modules.
 //!
 //! **Promises.** Every request that was read whole gets one final answer; nothing is sent twice that may run
 //! once; what is held for slow readers is bounded. **Neighbours down.** Without the control plane it goes on
@@ -18,6 +18,7 @@
 pub mod fetch;
 pub mod front;
 pub mod heads;
+pub mod metrics;
 pub mod node;
 pub mod routes;
 pub mod stream;
--- a/crates/data-plane/src/node.rs
+++ b/crates/data-plane/src/node.rs
@@ -20,6 +20,7 @@
 use crate::engine::{self, Engine};
 use crate::front::{Bounds, Front, Gate, LAST_WORD};
 use crate::heads::{Answer, bare};
+use crate::metrics;
 use crate::routes::Routes;
 use crate::upstreams::{Dialect, Load, Pool, Terms};
 use crate::watch::{CONNECT, Watch};
@@ -72,18 +73,19 @@
     )
 }
 
-/// Answers the platform's checks.
+/// Answers the platform's checks, and whoever watches what is counted.
 struct Readiness {
     routes: Rc<Routes>,
 }
 
 impl Gate for Readiness {
     async fn answer(&self, request: Request<Incoming>, _: Instant, _: bool) -> Answer {
-        if request.uri().path() != "/-/ready" {
-            return bare(StatusCode::NOT_FOUND);
+        match request.uri().path() {
+            "/-/ready" if self.routes.ready() => bare(StatusCode::OK),
+            "/-/ready" => bare(StatusCode::SERVICE_UNAVAILABLE),
+            "/-/metrics" => metrics::answer(self.routes.counted()),
+            _ => bare(StatusCode::NOT_FOUND),
         }
-        let ready = self.routes.ready();
-        bare(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
     }
 }
 
--- a/crates/data-plane/src/routes.rs
+++ b/crates/data-plane/src/routes.rs
@@ -25,6 +25,7 @@
 use crate::engine::{self, Arrival, Handle, Note, Reply};
 use crate::front::Gate;
 use crate::heads::{Answer, bare, malformed, onward, passed_on, refusal};
+use crate::metrics::{Counts as Counted, Metrics, Outcome};
 use crate::upstreams::Forward;
 use crate::watch::Follower;
 
@@ -63,6 +64,7 @@
     /// A client that has lost so much of its time came before.
     lost: Duration,
     longest: Longest,
+    counted: Rc<Counted>,
 }
 
 /// The longest time that clients of a route say they have, of late: that of first tries.
@@ -131,6 +133,7 @@
     turn: Cell<u32>,
     leaving: Cell<bool>,
     version: watch::Sender<u64>,
+    metrics: Metrics,
     /// Holds the front to the limits that clients have.
     limited: Box<dyn Fn(&Limits)>,
 }
@@ -156,6 +159,7 @@
             turn: Cell::new(0),
             leaving: Cell::new(false),
             version: watch::channel(0).0,
+            metrics: Metrics::default(),
             limited,
         })
     }
@@ -165,6 +169,14 @@
         !self.leaving.get() && self.told.borrow().config_index > 0 && self.engine.ready()
     }
 
+    /// What was counted, as Prometheus reads it.
+    pub fn counted(&self) -> String {
+        self.metrics.upstreams.set(self.placed.borrow().len() as i64);
+        let bank = self.told.borrow().bank.map_or(0, |b| b.balancers);
+        self.metrics.balancers.set(i64::from(bank));
+        self.metrics.text()
+    }
+
     /// It ends soon: clients are to be sent elsewhere.
     pub fn leave(&self) {
         self.leaving.set(true);
@@ -219,7 +231,8 @@
                 let deadline = Duration::from_millis(route.deadline_ms);
                 let lost = Duration::from_millis(route.target_ms) / LOST_OF_TARGET;
                 let (prefix, longest) = (route.path_prefix.clone(), Longest::default());
-                let open = Open { prefix, deadline, parts, lost, longest };
+                let counted = self.metrics.route(&route.name);
+                let open = Open { prefix, deadline, parts, lost, longest, counted };
                 by_host.entry(route.host.to_ascii_lowercase()).or_default().push(Rc::new(open));
             }
             for routes in by_host.values_mut() {
@@ -227,6 +240,8 @@
             }
             *self.by_host.borrow_mut() = by_host;
         }
+        self.metrics.keep(config.routes.iter().map(|r| r.name.as_str()));
+        self.metrics.version.set(i64::try_from(config.rev).unwrap_or(i64::MAX));
         let mut told = self.told.borrow_mut();
         (told.config_index, told.limits) = (index, config.limits);
         (self.limited)(&config.limits);
@@ -446,8 +461,25 @@
         }
         let host = head.headers.get(HOST).and_then(|v| v.to_str().ok()).unwrap_or_default();
         let Some(route) = self.route(host, head.uri.path()) else {
+            self.metrics.unrouted.inc();
             return bare(StatusCode::NOT_FOUND);
         };
+        let (outcome, answer) = self.on_route(&route, head, body, arrived).await;
+        route.counted.answered(outcome, arrived);
+        answer
+    }
+
+    /// What becomes of a request that has a route.
+    async fn on_route(
+        &self,
+        route: &Open,
+        head: Parts,
+        body: Incoming,
+        arrived: Instant,
+    ) -> (Outcome, Answer) {
+        let malformed = |what| (Outcome::Malformed, malformed(what));
+        let bad = |status| (Outcome::Malformed, bare(status));
+        let refused = |after| (Outcome::Refused, refusal(StatusCode::SERVICE_UNAVAILABLE, after));
         let (deadline, resent) = match head.headers.get(DEADLINE) {
             None => (route.deadline, false),
             Some(told) => {
@@ -461,21 +493,21 @@
         let most = self.told.borrow().limits.max_body_bytes;
         let length = body.size_hint().exact();
         if length.is_some_and(|l| l > most as u64) {
-            return bare(StatusCode::PAYLOAD_TOO_LARGE);
+            return bad(StatusCode::PAYLOAD_TOO_LARGE);
         }
         let Some(_room) = self.bodies.room(length.unwrap_or(0) as usize) else {
-            return refusal(StatusCode::SERVICE_UNAVAILABLE, COME_AGAIN);
+            return refused(COME_AGAIN);
         };
         let body = match timeout_at(until, Limited::new(body, most).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-                return bare(StatusCode::PAYLOAD_TOO_LARGE);
+                return bad(StatusCode::PAYLOAD_TOO_LARGE);
             }
             Ok(Err(_)) => return malformed("body"),
-            Err(_) => return bare(StatusCode::REQUEST_TIMEOUT),
+            Err(_) => return bad(StatusCode::REQUEST_TIMEOUT),
         };
-        let Some((service, class)) = self.part(&route) else {
-            return bare(StatusCode::NOT_FOUND);
+        let Some((service, class)) = self.part(route) else {
+            return bad(StatusCode::NOT_FOUND);
         };
         let shard = head.headers.get(SHARD).and_then(|v| v.to_str().ok()?.trim().parse().ok());
         let shard = shard.filter(|_| self.services.borrow()[service].sharded);
@@ -488,10 +520,10 @@
             body,
         };
         match self.engine.ask(service, arrival, forward).await {
-            Reply::Served(response) => passed_on(response, &INTERNAL),
-            Reply::Refused { retry_after } => refusal(StatusCode::SERVICE_UNAVAILABLE, retry_after),
-            Reply::Failed { late: true } => bare(StatusCode::GATEWAY_TIMEOUT),
-            Reply::Failed { late: false } => bare(StatusCode::BAD_GATEWAY),
+            Reply::Served(response) => (Outcome::Served, passed_on(response, &INTERNAL)),
+            Reply::Refused { retry_after } => refused(retry_after),
+            Reply::Failed { late: true } => (Outcome::Failed, bare(StatusCode::GATEWAY_TIMEOUT)),
+            Reply::Failed { late: false } => (Outcome::Failed, bare(StatusCode::BAD_GATEWAY)),
         }
     }
 }
--- a/crates/shorefront/tests/whole_path.rs
+++ b/crates/shorefront/tests/whole_path.rs
@@ -321,6 +321,21 @@
     assert_eq!(get(http, "h.example", "/p/x"), Some((200, "from i-1".into())));
     assert_eq!(get(http, "h.example", "/q/").map(|a| a.0), Some(404));
 
+    // What was counted is told where the platform's checks go, and on `ctl`.
+    let (_, counted) = get(ready, "r", "/-/metrics").expect("metrics");
+    for line in [
+        "shorefront_requests_total{route=\"r\",outcome=\"Served\"} 1",
+        "shorefront_unrouted_requests_total 1",
+        "shorefront_configuration_version 5",
+        "shorefront_upstreams 2",
+    ] {
+        assert!(counted.contains(line), "no {line}: {counted}");
+    }
+    let (_, counted) = get(ctl, "c", "/-/metrics").expect("metrics");
+    for line in ["shorefront_control_leads 1", "shorefront_control_upstreams{zone=\"a\"} 2"] {
+        assert!(counted.contains(line), "no {line}: {counted}");
+    }
+
     assert_eq!(put(5, &config(8, "two")), Some(200));
     let moved = || get(http, "h.example", "/p/x").filter(|a| a.1 == "from i-2");
     wait("the moved route", moved);
