--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -38,6 +38,10 @@
 /// requests a second for five seconds may be off by half.
 const TOO_MUCH: f64 = 1.5;
 const TOO_LITTLE: f64 = 0.5;
+/// And nothing is evened out while the one that has most has less than this for each slot: hardly anyone waits
+/// there, and what moves costs. Failure: with few requests their number was chance, and all keys changed hands
+/// four times within a minute.
+const BUSY: f64 = 0.5;
 /// A change that was proposed and is not seen for so long was lost.
 const LOST: u64 = 2000;
 
@@ -423,7 +427,8 @@
                 (0..n).filter(movable).max_by(|&a, &b| takers.load(a).total_cmp(&takers.load(b)));
             let Some((least, most)) = takers.least(0).zip(most) else { break };
             let (low, high) = (takers.load(least), takers.load(most));
-            if (high <= mean * TOO_MUCH && low >= mean * TOO_LITTLE) || high <= low {
+            let even = high <= mean * TOO_MUCH && low >= mean * TOO_LITTLE;
+            if even || high <= low || high < BUSY {
                 break;
             }
             let slots = f64::from(takers.0[most].1.slots.max(1));
