--- a/crates/decisions/src/policy/estimates.rs
+++ b/crates/decisions/src/policy/estimates.rs
@@ -220,7 +220,7 @@
             let (k, n) = self.servers.iter().filter(live).fold((0.0, 0.0), sum);
             let (part, even) = bank::part(k, self.fleet.leeway, self.settings.balancers);
             (self.rooms[r].slots, self.rooms[r].n_per_time) = (k * part, n * part);
-            // Failure: of slots that are learned, a shrunk fleet had more than was known, and refused repeats.
+            // Failure: where slots are learned, a bank that shrank refused repeats that it could serve.
             self.rooms[r].even = if self.servers.iter().any(|s| s.slots > 0) { even } else { 1.0 };
         }
         self.count_rooms();
