--- a/crates/decisions/src/policy/admission.rs
+++ b/crates/decisions/src/policy/admission.rs
@@ -53,8 +53,8 @@
         // Failure: a tenant that sent three times its share took the others' part of a full fleet.
         let part = if in_share { self.fleet.part[class] } else { 0.0 };
         let room = &self.rooms[self.room_of[class]];
-        // Failure: in overload the room for bursts went to repeats, who can only be late, and first tries were
-        // refused for it and came again.
+        // Failure: in overload the room for bursts went to repeats, who can only be late, and first tries
+        // were refused for it and came again.
         let n = room.n_per_time * (self.fleet.ts + self.fleet.bearable * part);
         let n = if resent { n * room.even } else { n };
         // With no list yet there is no N to sum: hold until an upstream shows or time is up.
