--- a/crates/control-plane/src/cell.rs
+++ b/crates/control-plane/src/cell.rs
@@ -284,7 +284,7 @@
                     Err(why) => drop(self.ways.breaks.send(why)),
                 }
             }
-            inner.applied = snapshot.index;
+            (inner.applied, inner.logged) = (snapshot.index, 0);
             news = true;
         }
         for entry in out.committed {
