Read a file once, a status by its code, and write counts out in one place

From a read of the whole change; behaviour stays as it is. - `config replace` and `amend` read their file twice; `status` read the settings file again for each balancer. - That there is no configuration yet was told by "(404)" in an error's text; now by the answer's status. - Both planes wrote a registry out by the same lines; the budget reckoned its piece of the window in two places. - The bounds of the log are the crate's own business.

--- a/crates/control-plane/src/cell.rs
+++ b/crates/control-plane/src/cell.rs
@@ -31,8 +31,8 @@
 const TICK: Duration = Duration::from_millis(50);
 /// The log is cut after so many entries, or bytes of orders in them: large configurations must not fill the
 /// disk before there are many.
-pub const COMPACT: usize = 256;
-pub const COMPACT_BYTES: usize = 2 << 20;
+pub(crate) const COMPACT: usize = 256;
+pub(crate) const COMPACT_BYTES: usize = 2 << 20;
 /// Control balancers tell each other their sessions this often, changed or not.
 pub const TELL: Duration = Duration::from_millis(1000);
 /// One that has said nothing for so long is lost, and its sessions and its cell with it.
--- a/crates/control-plane/src/metrics.rs
+++ b/crates/control-plane/src/metrics.rs
@@ -1,7 +1,6 @@
 //! How things stand at a control balancer, for whoever watches it: written out when asked for.
 
 use agreement::Role;
-use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
@@ -36,8 +35,5 @@
         upstreams.get_or_create(&vec![("zone".to_string(), zone)]).set(known as i64);
     }
     registry.register("upstreams", "Upstreams known, by zone", upstreams);
-    let mut text = String::new();
-    // Writing to memory does not fail.
-    let _ = encode(&mut text, &registry);
-    text
+    data_plane::metrics::text(&registry)
 }
--- a/crates/control-plane/src/operator.rs
+++ b/crates/control-plane/src/operator.rs
@@ -4,11 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+pub use bytes::Bytes;
 use data_plane::fetch::{Client, FetchError};
 use http_body_util::Full;
 use hyper::header::LOCATION;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Method, Request, Uri};
+pub use hyper::{Response, StatusCode};
 use tokio::time::{Instant, sleep};
 
 use crate::interface::BASE;
--- a/crates/data-plane/src/metrics.rs
+++ b/crates/data-plane/src/metrics.rs
@@ -21,6 +21,14 @@
 const FORM: HeaderValue =
     HeaderValue::from_static("application/openmetrics-text; version=1.0.0; charset=utf-8");
 
+/// What is registered, as Prometheus reads it.
+pub fn text(registry: &Registry) -> String {
+    let mut text = String::new();
+    // Writing to memory does not fail.
+    let _ = encode(&mut text, registry);
+    text
+}
+
 /// The answer that tells counts.
 pub fn answer(text: String) -> Answer {
     let mut answer = Answer::new(text.into());
@@ -135,10 +143,7 @@
 
     /// All of it as Prometheus reads it.
     pub fn text(&self) -> String {
-        let mut text = String::new();
-        // Writing to memory does not fail.
-        let _ = encode(&mut text, &self.registry.borrow());
-        text
+        text(&self.registry.borrow())
     }
 }
 
--- a/crates/decisions/src/bank.rs
+++ b/crates/decisions/src/bank.rs
@@ -97,8 +97,13 @@
 }
 
 impl Budget {
+    /// The number of the piece that is now.
+    fn number(now: Time, rules: &Rules) -> i64 {
+        now.0 / (rules.retry_window.0 / PIECES).max(1)
+    }
+
     fn piece(&mut self, now: Time, rules: &Rules) -> &mut (i64, u32, u32) {
-        let n = now.0 / (rules.retry_window.0 / PIECES).max(1);
+        let n = Self::number(now, rules);
         let piece = &mut self.pieces[n.rem_euclid(PIECES + 1) as usize];
         if piece.0 != n {
             *piece = (n, 0, 0);
@@ -121,7 +126,7 @@
         if rules.retry_window.0 <= 0 {
             return true;
         }
-        let n = now.0 / (rules.retry_window.0 / PIECES).max(1);
+        let n = Self::number(now, rules);
         let kept = |age: i64| self.pieces.iter().filter(move |p| (0..age).contains(&(n - p.0)));
         let tries: u32 = kept(PIECES + 1).map(|p| p.2).sum();
         let requests: u32 = kept(PIECES).map(|p| p.1).sum();
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -428,7 +428,7 @@
     pub drop_dead: Time,
     /// Work to expect on a yardstick core, if anyone guessed.
     pub cost_guess: Option<Span>,
-    /// A client's repeat, where clients mark them.
+    /// A client's repeat, as it is marked or as its host sees it.
     pub resent: bool,
     /// It changes something.
     pub write: bool,
--- a/crates/shorefront/src/operate.rs
+++ b/crates/shorefront/src/operate.rs
@@ -10,7 +10,7 @@
 
 use clap::{Args, Subcommand, ValueEnum};
 use control_plane::configuration::validate;
-use control_plane::operator::{Operator, Order};
+use control_plane::operator::{Bytes, Operator, Order, Response, StatusCode};
 use messages::config::Config;
 use messages::settings::Settings;
 use serde_json::Value;
@@ -184,14 +184,27 @@
 }
 
 fn json(file: &Path) -> Result<Value, Ended> {
+    Ok(text(file)?.1)
+}
+
+/// A file's bytes, and the JSON that they are.
+fn text(file: &Path) -> Result<(Vec<u8>, Value), Ended> {
     let text = std::fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?;
     let value = serde_json::from_slice(&text);
-    Ok(value.map_err(|e| format!("{}: not JSON: {e}", file.display()))?)
+    let value = value.map_err(|e| format!("{}: not JSON: {e}", file.display()))?;
+    Ok((text, value))
 }
 
-/// The answer to an order: its JSON, or why there is none.
+/// The JSON that answers an order, or why there is none.
 async fn asked(operator: &Operator, order: &Order) -> Result<Value, Ended> {
-    let answer = operator.call(order).await.map_err(|e| Ended(UNCLEAR, e.to_string()))?;
+    told(&answered(operator, order).await?)
+}
+
+async fn answered(operator: &Operator, order: &Order) -> Result<Response<Bytes>, Ended> {
+    operator.call(order).await.map_err(|e| Ended(UNCLEAR, e.to_string()))
+}
+
+fn told(answer: &Response<Bytes>) -> Result<Value, Ended> {
     let said = String::from_utf8_lossy(answer.body());
     if answer.status().is_success() {
         return serde_json::from_str(&said).map_err(|e| Ended(UNCLEAR, format!("{said}: {e}")));
@@ -203,20 +216,18 @@
 
 /// The current version and configuration; version 0 while there is none.
 async fn newest(operator: &Operator) -> Result<(u64, Option<Value>), Ended> {
-    let read = Order::get("/-/Config.Read");
-    match asked(operator, &read).await {
-        Ok(config) => Ok((config["rev"].as_u64().unwrap_or(0), Some(config))),
-        Err(Ended(REFUSED, why)) if why.contains("(404)") => Ok((0, None)),
-        Err(ended) => Err(ended),
+    let answer = answered(operator, &Order::get("/-/Config.Read")).await?;
+    if answer.status() == StatusCode::NOT_FOUND {
+        return Ok((0, None));
     }
+    let config = told(&answer)?;
+    Ok((config["rev"].as_u64().unwrap_or(0), Some(config)))
 }
 
 async fn changed(whom: &Whom, path: &str, change: &Change) -> Result<String, Ended> {
     let operator = whom.operator()?;
     // Sent as it stands in the file: it is known by that when it comes again.
-    json(&change.file)?;
-    let body = std::fs::read(&change.file);
-    let body = body.map_err(|e| format!("{}: {e}", change.file.display()))?;
+    let (body, _) = text(&change.file)?;
     let base = match change.base {
         Some(base) => base,
         None => newest(&operator).await?.0,
@@ -247,8 +258,9 @@
 /// What one control balancer each says; balancers and zones as the first that answers sees them.
 async fn status(whom: &Whom) -> Result<String, Ended> {
     let (mut all, mut silent) = (Vec::new(), Vec::new());
-    for at in whom.addresses()? {
-        let operator = Operator { at: vec![at], ..whom.operator()? };
+    let Operator { at: addresses, patience } = whom.operator()?;
+    for at in addresses {
+        let operator = Operator { at: vec![at], patience };
         match asked(&operator, &Order::get("/-/Status")).await {
             Ok(said) => all.push(said),
             Err(Ended(_, why)) => silent.push((at, why)),
