Cancel what may be repeated once its client has left or has its answer

Cause: no decision ever emitted Cancel, so every attempt that was out when its client left, or when another copy had answered, ran to its end at its upstream.

Change: Balancer::conclude cancels the attempts of repeatable requests where settings allow it. What may run once goes on. The estimates learn nothing of a cancelled attempt, and its place is free at once: a close reaches the upstream before any later request does.

Tests: the schedules of rules.rs hold every action to it, and fail without the change; so does what_may_be_repeated_ends_with_its_client_and_teaches_nothing. The test of a fleet that is young as a whole passed only because losing copies were never answered, and did not notice a lost pace; it now answers what is sent, and fails both without any pace and with none at all.

--- a/crates/decisions/src/policy/admission.rs
+++ b/crates/decisions/src/policy/admission.rs
@@ -6,8 +6,7 @@
     /// A client request has arrived; it is sent, held or refused.
     pub(super) fn request(&mut self, now: Time, r: Request, out: &mut Vec<Action>) {
         let Some(class) = self.settings.classes.get(r.class) else {
-            out.push(Action::Refuse { request: r.id, retry_after: Span(0) });
-            return;
+            return out.push(Action::Refuse { request: r.id, retry_after: Span(0) });
         };
         if self.requests.contains_key(&r.id) {
             return;
@@ -86,20 +85,16 @@
         self.end(request);
     }
 
+    /// Nothing is owed to the client any more.
     pub(super) fn end(&mut self, id: RequestId) {
+        self.unhold(id);
         let Some(e) = self.requests.get_mut(&id) else { return };
         e.ended = true;
-        let class = e.class;
-        let (was_held, out, turn) = (std::mem::take(&mut e.held), e.out(), e.turn);
-        if was_held {
-            self.count_queued(class, -1);
-        }
-        if out {
+        if e.out() {
             return;
         }
+        let line = e.turn.and_then(|k| self.lines.get_mut(&k));
+        line.into_iter().for_each(|line| line.waiting.retain(|w| *w != id));
         self.requests.remove(&id);
-        if let Some(line) = turn.and_then(|k| self.lines.get_mut(&k)) {
-            line.waiting.retain(|w| *w != id);
-        }
     }
 }
--- a/crates/decisions/src/policy/attempts.rs
+++ b/crates/decisions/src/policy/attempts.rs
@@ -70,6 +70,7 @@
         let attempt = *attempt;
         let server = attempt.server;
         let (class, turn, shard) = (e.class, e.turn, e.shard);
+        let over = e.ended || a.last;
         let may_run = matches!(a.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
         if let Some(line) = turn.filter(|_| may_run).and_then(|k| self.lines.get_mut(&k)) {
             line.rest_until = now.plus(self.settings.rules.turn_gap);
@@ -79,7 +80,9 @@
         }
         self.learn(now, class, attempt, &a);
         self.close_idle(now, server, out);
-        if a.last || a.outcome == Outcome::Ok {
+        if a.outcome == Outcome::Ok {
+            self.conclude(a.request, out);
+        } else if over {
             self.end(a.request);
         } else {
             self.settle(now, a.request, out);
@@ -87,6 +90,18 @@
         self.dispatch(now, out);
     }
 
+    /// The client has its answer, or has left: nobody reads what further attempts bring. Those of a request that
+    /// may be repeated end at their upstreams; what may run once goes on there, since it may be done already.
+    pub(super) fn conclude(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        if let Some(e) = self.requests.get(&id).filter(|_| self.settings.limits.cancel)
+            && self.settings.classes[e.class].effect == Effect::Safe
+        {
+            let running = (0..e.attempts.len()).filter(|n| e.attempts[*n].fate == Fate::Out);
+            out.extend(running.map(|attempt| Action::Cancel { request: id, attempt }));
+        }
+        self.end(id);
+    }
+
     pub(super) fn learn(&mut self, now: Time, class: usize, attempt: Attempt, a: &Answer) {
         let server = attempt.server;
         // Failure: one absurd latency put the mean of its class out of reach for good.
@@ -95,11 +110,11 @@
         // Failure: a second lane on trial made an upstream look slow, and drove its proxy into the parts of
         // others.
         let tried = self.servers[server].in_flight > self.k(&self.servers[server], 0);
-        if a.outcome == Outcome::Ok && !tried {
-            self.learn_means(class, latency);
-        }
         if a.outcome == Outcome::Ok {
             self.count_served(now, server);
+            if !tried {
+                self.learn_means(class, latency);
+            }
         }
         let mean = self.fleet.mean[class];
         let mean = if mean > 0.0 { mean } else { self.fleet.ts };
@@ -164,8 +179,7 @@
         f.leeway = f.leeway.clamp(LEEWAY, LEEWAY.max(f64::from(self.settings.balancers)));
     }
 
-    /// When an attempt is overdue, long past its class's latency; and when a second one must go to be in
-    /// time.
+    /// When an attempt is overdue, past its class's latency; and when a second one must go to be in time.
     pub(super) fn overdue_at(&self, e: &Entry, a: &Attempt) -> (Time, Time) {
         let class = &self.settings.classes[e.class];
         let (mean, dev) = (self.fleet.mean[e.class], self.fleet.dev[e.class]);
@@ -229,9 +243,6 @@
     /// After an attempt that did not serve: again, or an end.
     pub(super) fn settle(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
         let Some(e) = self.requests.get(&id) else { return };
-        if e.ended {
-            return self.end(id);
-        }
         if e.held || e.out() {
             return;
         }
@@ -270,10 +281,8 @@
         let late: Vec<RequestId> = self.queue.iter().filter(late).copied().collect();
         for id in late {
             // One with an attempt out waited for a second; the first may still be answered.
-            if let Some(e) = self.requests.get_mut(&id).filter(|e| e.out()) {
-                e.held = false;
-                let class = e.class;
-                self.count_queued(class, -1);
+            if self.requests.get(&id).is_some_and(Entry::out) {
+                self.unhold(id);
             } else {
                 self.give_up(id, out);
             }
--- a/crates/decisions/src/policy/cold.rs
+++ b/crates/decisions/src/policy/cold.rs
@@ -55,22 +55,17 @@
         if self.cold_share(now, s).is_some() {
             return;
         }
-        let kind = s.kind as usize;
-        if self.fleet.warm_served.len() <= kind {
-            self.fleet.warm_served.resize(kind + 1, 0.0);
-        }
-        self.fleet.warm_served[kind] += 1.0;
+        let (kind, served) = (s.kind as usize, &mut self.fleet.warm_served);
+        served.resize(served.len().max(kind + 1), 0.0);
+        served[kind] += 1.0;
     }
 
     pub(super) fn refresh_warm(&mut self, now: Time) {
         let elapsed = now.since(self.fleet.counted).f();
         self.fleet.counted = now;
         let mut weight = vec![0.0; self.fleet.warm_served.len()];
-        for i in 0..self.servers.len() {
+        for &i in &self.order {
             let s = &self.servers[i];
-            if s.status != Status::Live {
-                continue;
-            }
             if let Some(earned) = self.earned(now, s) {
                 self.servers[i].pace = Pace::new(earned, now);
             } else if let Some(w) = weight.get_mut(s.kind as usize) {
--- a/crates/decisions/src/policy/dispatch.rs
+++ b/crates/decisions/src/policy/dispatch.rs
@@ -15,6 +15,15 @@
         }
     }
 
+    /// Takes it out of the count of the queue; its place there is passed over.
+    pub(super) fn unhold(&mut self, id: RequestId) {
+        if let Some(e) = self.requests.get_mut(&id).filter(|e| e.held) {
+            e.held = false;
+            let class = e.class;
+            self.count_queued(class, -1);
+        }
+    }
+
     pub(super) fn count_queued(&mut self, class: usize, change: isize) {
         let own = self.room_of[class];
         for (r, room) in self.rooms.iter_mut().enumerate() {
@@ -101,11 +110,9 @@
             // Failure: in overload all that found no slot elsewhere went to the upstreams of a lost zone.
             let most = if s.silent >= SILENT { 1 } else { self.k(s, trial) };
             // Failure: a proxy at its limit sent on trial to upstreams that it had left idle as slow.
-            if load >= f64::from(most) || (full && s.in_flight < self.k(s, 0)) {
-                continue;
-            }
+            let taken = load >= f64::from(most) || (full && s.in_flight < self.k(s, 0));
             let shut = now < s.by_class[e.class].until && !self.panic[e.class];
-            if shut || now < s.breaker.until || !self.may_send(now, id, e, i) {
+            if taken || shut || now < s.breaker.until || !self.may_send(now, id, e, i) {
                 continue;
             }
             if s.slots == 0 && !tried {
@@ -140,13 +147,12 @@
     pub(super) fn send(&mut self, now: Time, id: RequestId, server: usize, out: &mut Vec<Action>) {
         self.count_send(now, server);
         self.count_level(now, server, None);
+        self.unhold(id);
         let Some(e) = self.requests.get_mut(&id) else { return };
-        e.held = false;
         let first = e.attempts.is_empty();
         self.out.push((id, e.attempts.len()));
         e.attempts.push(Attempt::new(server, now));
-        let (class, timeout) = (e.class, e.worth_until.since(now));
-        self.count_queued(class, -1);
+        let timeout = e.worth_until.since(now);
         self.count_in_flight(server, 1);
         if first {
             self.extra = (self.extra + EXTRA).min(self.rooms[0].slots.max(1.0));
--- a/crates/decisions/src/policy/estimates.rs
+++ b/crates/decisions/src/policy/estimates.rs
@@ -55,7 +55,7 @@
             return;
         }
         let rate = now.done / now.time.max(1.0);
-        let mut gain = [0.0; MOST_LANES + 1];
+        let mut gain = [1.0; MOST_LANES + 1];
         let (mut top, mut best) = (1, 0.0);
         for n in 1..=MOST_LANES {
             let l = &mut self.level[n];
@@ -64,8 +64,7 @@
             if l.all > LANE_MEMORY {
                 (l.all, l.expected) = (l.all / 2.0, l.expected / 2.0);
             }
-            let below = if n == 1 { 1.0 } else { gain[n - 1] };
-            gain[n] = (l.all + LANE_PRIOR * below) / (l.expected + LANE_PRIOR);
+            gain[n] = (l.all + LANE_PRIOR * gain[n - 1]) / (l.expected + LANE_PRIOR);
             if l.expected > 0.0 {
                 (top, best) = (n, gain[n].max(best));
             }
@@ -165,8 +164,7 @@
         s.est.slow <= SUSPECT && self.cold_share(now, s).is_none()
     }
 
-    /// Books the time since the last change of an upstream's in-flight, and the work of an answer that ends
-    /// it.
+    /// Books the time that an upstream had so many in flight, and the work of the answer that ends it.
     pub(super) fn count_level(&mut self, now: Time, server: usize, answered: Option<usize>) {
         let s = &self.servers[server];
         let time = now.since(s.changed).f().min(self.ts(s) * LANE_GAP);
--- a/crates/decisions/src/policy/members.rs
+++ b/crates/decisions/src/policy/members.rs
@@ -20,8 +20,7 @@
             }
             ListKind::Restored => {}
             ListKind::Update | ListKind::Whole => {
-                self.ask.subscribed = true;
-                self.ask.failures = 0;
+                (self.ask.subscribed, self.ask.failures) = (true, 0)
             }
         }
         let before: Vec<Status> = self.servers.iter().map(|s| s.status).collect();
@@ -127,9 +126,8 @@
         let head_start =
             if self.settings.rules.cold_per_s > 0.0 { turn } else { self.rng.rand_float() };
         let kind = m.kind.min(255) as usize;
-        if self.fleet.lanes.len() <= kind {
-            self.fleet.lanes.resize_with(kind + 1, Lanes::new);
-        }
+        let lanes = &mut self.fleet.lanes;
+        lanes.resize_with(lanes.len().max(kind + 1), Lanes::new);
         let s = &mut self.servers[i];
         if s.started != m.started && m.started.is_some() {
             s.pace = Pace::new(head_start, now);
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -213,7 +213,8 @@
             }
             Event::Request(r) => self.request(now, r, out),
             Event::Answered(a) => self.outcome(now, a, out),
-            Event::Started(id) | Event::Left(id) => self.end(id),
+            Event::Started(id) => self.end(id),
+            Event::Left(id) => self.conclude(id, out),
             Event::Timer(SWEEP) => self.sweep(now, out),
             Event::Timer(_) | Event::Probed { .. } => {}
         }
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -118,6 +118,8 @@
     /// For upstreams that are not live: when that was told or they were last used, and last closed.
     pub leaving: BTreeMap<u32, (Time, Option<Time>)>,
     actions: Vec<Action>,
+    /// Attempts that were cancelled, and whose end is yet to be told.
+    cancelled: Vec<(u64, usize)>,
 }
 
 impl World {
@@ -134,6 +136,7 @@
             log: vec![],
             leaving: BTreeMap::new(),
             actions: vec![],
+            cancelled: vec![],
         };
         world.list(ListKind::Restored, &[]);
         world
@@ -142,6 +145,9 @@
     fn tell(&mut self, event: Event) {
         self.balancer.handle(self.now, event, &mut self.actions);
         self.obey();
+        for (id, attempt) in std::mem::take(&mut self.cancelled) {
+            self.outcome(id, attempt, Outcome::Cancelled);
+        }
     }
 
     pub fn with_servers(settings: Settings, n: u32) -> Self {
@@ -224,6 +230,9 @@
             report: Report::default(),
         };
         self.tell(Event::Answered(answer));
+        if outcome == Outcome::Ok {
+            self.check_withdrawn(id);
+        }
     }
 
     pub fn gone(&mut self, id: u64) {
@@ -231,6 +240,16 @@
             asked.over = true;
         }
         self.tell(Event::Left(RequestId(id)));
+        self.check_withdrawn(id);
+    }
+
+    /// Nothing goes on for a client that has left or has its answer, but what may run once.
+    fn check_withdrawn(&self, id: u64) {
+        let Some(asked) = self.asked.get(&id) else { return };
+        let repeatable = self.settings.classes[asked.class].effect == Effect::Safe;
+        let at_work = asked.tries.iter().any(|t| t.ended.is_none());
+        let withdrawn = self.settings.limits.cancel && repeatable;
+        assert!(!withdrawn || !at_work, "{id} goes on for a client that has left or is served");
     }
 
     /// Lets time pass, firing timers; attempts end as time-outs at their request's end.
@@ -312,7 +331,12 @@
                 Action::Fail { request } => self.end(request.0),
                 Action::Arm { token, at } => self.timers.push((token, at)),
                 Action::Cancel { request, attempt } => {
-                    assert!(attempt < self.asked[&request.0].tries.len(), "cancels what was sent");
+                    let asked = &self.asked[&request.0];
+                    let effect = self.settings.classes[asked.class].effect;
+                    assert_eq!(effect, Effect::Safe, "cancels what may run only once");
+                    assert!(asked.over, "cancels what a client waits for");
+                    assert_eq!(asked.tries[attempt].ended, None, "cancels what is out");
+                    self.cancelled.push((request.0, attempt));
                 }
                 Action::CloseIdle { server } => {
                     if let Some(l) = self.leaving.get_mut(&server.0) {
--- a/crates/decisions/tests/mechanism.rs
+++ b/crates/decisions/tests/mechanism.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeSet;
 
-use common::{MS, World, member, settings};
+use common::{Asked, MS, Try, World, member, settings};
 use decisions::interface::*;
 use decisions::policy::Balancer;
 
@@ -318,14 +318,21 @@
     let young = |i| Member { started: Some(w.now), ..member(i, 0) };
     let list: Vec<_> = (0..4).map(young).collect();
     w.list(ListKind::Whole, &list);
-    let mut served = 0;
+    // As much as it could do warm, for a second; each upstream answers after 10 ms.
     for id in 0..400 {
         w.request(id, 0);
-        served += usize::from(w.out(id).is_some());
-        serve(&mut w, id, 10);
+        w.pass(Span(2500));
+        let done = |a: &Asked| {
+            let done = |t: &Try| t.ended.is_none() && w.now.since(t.sent) >= Span(10 * MS);
+            a.tries.iter().position(done)
+        };
+        let done: Vec<_> = w.asked.iter().filter_map(|(id, a)| Some((*id, done(a)?))).collect();
+        done.into_iter().for_each(|(id, attempt)| w.outcome(id, attempt, Outcome::Ok));
     }
-    assert!(served > 20, "only {served} of 400 were sent");
-    assert!(served < 300, "{served} sends in 4 s would push a cold fleet over");
+    let sent: usize = (0..4).map(|server| w.sends_to(server)).sum();
+    assert!(sent > 20, "only {sent} of 400 were sent");
+    // Three times what each of the four does at a quarter of its hundred a second.
+    assert!(sent < 300, "{sent} sends in 1 s would push a cold fleet over");
 }
 
 #[test]
--- a/crates/decisions/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -37,6 +37,32 @@
     may_run.iter().for_each(|o| assert_eq!(after(UNSAFE, *o), "failed", "{o:?}"));
 }
 
+#[test]
+fn what_may_be_repeated_ends_with_its_client_and_teaches_nothing() {
+    for (class, ends) in [(SAFE, true), (KEYED, false), (UNSAFE, false)] {
+        let mut w = World::with_servers(settings(), 1);
+        w.request(1, class);
+        w.outcome(1, 0, Outcome::Ok);
+        let known = w.balancer.upstream(ServerId(0), Span(200 * MS));
+        w.request(2, class);
+        w.pass(Span(5 * MS));
+        w.gone(2);
+        assert_eq!(w.out(2).is_none(), ends, "class {class}");
+        let after = w.balancer.upstream(ServerId(0), Span(200 * MS));
+        assert_eq!(after == known, ends, "its place is free, and nothing was learned: {class}");
+    }
+}
+
+#[test]
+fn without_leave_to_cancel_attempts_run_to_their_end() {
+    let mut s = settings();
+    s.limits.cancel = false;
+    let mut w = World::with_servers(s, 1);
+    w.request(1, SAFE);
+    w.gone(1);
+    assert!(w.out(1).is_some());
+}
+
 #[test]
 fn a_keyed_repeat_outside_its_group_is_failed_not_refused() {
     let mut w = World::new(settings());
