--- a/crates/control-plane/src/cell.rs
+++ b/crates/control-plane/src/cell.rs
@@ -20,11 +20,12 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use agreement::{Core, Members, NodeId, Timing};
+use data_plane::changes::{Changes, Watcher};
 use messages::settings::Settings;
 use messages::wire::{Control, Session, Tell};
 use messages::zones::ZoneList;
 use rustc_hash::FxHashMap;
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::Instant;
 
 pub use self::membership::LogStatus;
@@ -137,7 +138,7 @@
     inner: RefCell<Inner>,
     channels: Channels,
     wall_clock: Box<dyn Fn() -> u64>,
-    version: watch::Sender<u64>,
+    version: Changes,
     next_session: Plain<u64>,
     next_token: Plain<u64>,
     /// It has begun to lead, and says so at once.
@@ -200,7 +201,7 @@
             }),
             channels,
             wall_clock: environment.wall_clock,
-            version: watch::channel(0).0,
+            version: Changes::default(),
             next_session: Plain::new(0),
             next_token: Plain::new(environment.first_token),
             announces: Plain::new(false),
@@ -220,11 +221,11 @@
     }
 
     /// Wakes with every change of what the data plane or the directory may want to know.
-    pub fn changes(&self) -> watch::Receiver<u64> {
-        self.version.subscribe()
+    pub fn changes(&self) -> Watcher {
+        self.version.watch()
     }
 
     fn changed(&self) {
-        self.version.send_modify(|v| *v += 1);
+        self.version.note();
     }
 }
--- a/crates/control-plane/src/peers.rs
+++ b/crates/control-plane/src/peers.rs
@@ -180,7 +180,7 @@
     // Since when there is something to tell on a session that is not the first.
     let mut waits: Option<Instant> = None;
     loop {
-        changes.borrow_and_update();
+        changes.see_all();
         let mut told = has.clone();
         // Looked at right before anything is handed out: this process may have stood still.
         confirmed |= cell.contact_age().is_some_and(|age| age < opened.elapsed());
@@ -206,6 +206,8 @@
         }
         let next = from.map_or(said + BEAT, |from| from.min(said + BEAT));
         tokio::select! {
+            // In this order, so that a simulation plays the same each time; each turn of the loop tells what is new.
+            biased;
             word = words.recv() => match word.ok_or(io::ErrorKind::UnexpectedEof)? {
                 Word::Ask(ask) => {
                     note(cell, mark, &mut session, &ask);
@@ -214,7 +216,7 @@
                 Word::Same => {}
                 Word::Work(counts) => cell.count(counts),
             },
-            _ = changes.changed() => {}
+            () = changes.changed() => {}
             () = tokio::time::sleep_until(next) => {}
         }
     }
--- a/crates/control-plane/tests/common/balancers.rs
+++ b/crates/control-plane/tests/common/balancers.rs
@@ -7,12 +7,12 @@
 use std::time::Duration;
 
 use control_plane::peers::converse;
+use data_plane::changes::{Changes, Watcher};
 use data_plane::upstreams::AbortOnDrop;
 use data_plane::watch::{CONNECT, Follower, Network, Watch};
 use messages::keys::Counts;
 use messages::wire::{Ask, Balancer, Bank, News};
 use tokio::io::{DuplexStream, duplex};
-use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
 use super::{Net, SIZE, settings, spawn};
@@ -27,7 +27,7 @@
     pub bank: Plain<u32>,
     /// The cells that it called, in order.
     pub dialled: RefCell<Vec<usize>>,
-    changes: watch::Sender<u64>,
+    changes: Changes,
 }
 
 impl Told {
@@ -68,12 +68,12 @@
         self.bank.set(bank.balancers);
     }
 
-    fn changes(&self) -> watch::Receiver<u64> {
-        self.changes.subscribe()
+    fn changes(&self) -> Watcher {
+        self.changes.watch()
     }
 
     fn wake(&self) {
-        self.changes.send_modify(|v| *v += 1);
+        self.changes.note();
     }
 }
 
@@ -127,7 +127,7 @@
         versions: RefCell::default(),
         bank: Plain::new(0),
         dialled: RefCell::default(),
-        changes: watch::channel(0).0,
+        changes: Changes::default(),
     });
     let (zone, region, http) = ("a".into(), "r".into(), at(first[0]));
     let me = Balancer { node, zone, region, http };
--- /dev/null
+++ b/crates/data-plane/src/changes.rs
@@ -0,0 +1,95 @@
+//! A count of changes that tasks of one thread wait on. Tasks wake in the order in which they began to wait, so that a
+//! simulation plays the same each time; `tokio::sync::watch` wakes them in an order of its own drawing.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use tokio::sync::Notify;
+
+#[derive(Default)]
+struct Count {
+    changes: Cell<u64>,
+    changed: Notify,
+}
+
+/// Something that changes.
+#[derive(Default)]
+pub struct Changes(Rc<Count>);
+
+impl Changes {
+    /// It has changed: whoever waits wakes.
+    pub fn note(&self) {
+        self.0.changes.set(self.0.changes.get() + 1);
+        self.0.changed.notify_waiters();
+    }
+
+    /// A watcher to whom all that has changed by now is known.
+    pub fn watch(&self) -> Watcher {
+        Watcher { seen: self.0.changes.get(), count: self.0.clone() }
+    }
+}
+
+/// Waits for changes that it has not seen.
+pub struct Watcher {
+    count: Rc<Count>,
+    seen: u64,
+}
+
+impl Watcher {
+    /// All that has changed by now is seen.
+    pub fn see_all(&mut self) {
+        self.seen = self.count.changes.get();
+    }
+
+    /// Waits for a change that was not seen; at once if there was one.
+    pub async fn changed(&mut self) {
+        loop {
+            // It hears of what changes from here on, polled or not.
+            let changed = self.count.changed.notified();
+            let changes = self.count.changes.get();
+            if changes != self.seen {
+                self.seen = changes;
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::cell::RefCell;
+
+    use tokio::task::{LocalSet, spawn_local, yield_now};
+
+    use super::*;
+
+    #[tokio::test]
+    async fn who_waits_wakes_in_turn_and_misses_nothing() {
+        let test = async {
+            let changes = Changes::default();
+            let woken: Rc<RefCell<Vec<usize>>> = Rc::default();
+            for waiter in 0..20 {
+                let (mut watcher, woken) = (changes.watch(), woken.clone());
+                spawn_local(async move {
+                    watcher.changed().await;
+                    woken.borrow_mut().push(waiter);
+                });
+            }
+            yield_now().await;
+            let mut before = changes.watch();
+            changes.note();
+            before.changed().await;
+            while woken.borrow().len() < 20 {
+                yield_now().await;
+            }
+            assert_eq!(*woken.borrow(), (0..20).collect::<Vec<_>>());
+            changes.note();
+            before.see_all();
+            let mut waits = std::pin::pin!(before.changed());
+            let now = std::future::poll_fn(|cx| std::task::Poll::Ready(waits.as_mut().poll(cx)));
+            assert!(now.await.is_pending(), "it was seen");
+        };
+        LocalSet::new().run_until(test).await;
+    }
+}
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -12,6 +12,7 @@
 #![forbid(unsafe_code)]
 
 pub mod bodies;
+pub mod changes;
 pub mod connections;
 pub mod engine;
 pub mod fetch;
--- a/crates/data-plane/src/routes.rs
+++ b/crates/data-plane/src/routes.rs
@@ -19,10 +19,10 @@
 use messages::wire::{Ask, Bank, News};
 use messages::zones::{Taken, Upstream, ZoneList};
 use rustc_hash::FxHashMap;
-use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
 use crate::bodies::Allowance;
+use crate::changes::{Changes, Watcher};
 use crate::engine::{self, Arrival, Handle, Note, Reply};
 use crate::front::Gate;
 use crate::heads::{Answer, bare, malformed, onward, passed_on, refusal};
@@ -136,7 +136,7 @@
     start: Instant,
     turn: Cell<u32>,
     leaving: Cell<bool>,
-    version: watch::Sender<u64>,
+    version: Changes,
     metrics: Metrics,
     /// Holds the front to the limits that clients have.
     limited: Box<dyn Fn(&Limits)>,
@@ -163,7 +163,7 @@
             start: Instant::now(),
             turn: Cell::new(0),
             leaving: Cell::new(false),
-            version: watch::channel(0).0,
+            version: Changes::default(),
             metrics,
             limited,
         })
@@ -189,7 +189,7 @@
     }
 
     fn changed(&self) {
-        self.version.send_modify(|v| *v += 1);
+        self.version.note();
     }
 
     // ------------------------------------------------------------------ news
@@ -689,8 +689,8 @@
         }
     }
 
-    fn changes(&self) -> watch::Receiver<u64> {
-        self.version.subscribe()
+    fn changes(&self) -> Watcher {
+        self.version.watch()
     }
 
     fn wake(&self) {
--- a/crates/data-plane/src/watch.rs
+++ b/crates/data-plane/src/watch.rs
@@ -18,12 +18,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::changes::Watcher;
 use messages::keys::Counts;
 use messages::wire::{self, Ask, Balancer, Bank, Control, Hello, News, PROTOCOL, Word};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, BufReader, BufWriter, WriteHalf};
 use tokio::net::TcpStream;
-use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// A word at least this often, in both directions.
@@ -91,7 +91,7 @@
     /// The bank as the sessions tell it.
     fn bank(&self, bank: Bank);
     /// Wakes when there is something else to ask.
-    fn changes(&self) -> watch::Receiver<u64>;
+    fn changes(&self) -> Watcher;
     /// Wakes the sessions.
     fn wake(&self);
 }
@@ -291,13 +291,9 @@
                 tokio::pin!(news);
                 loop {
                     tokio::select! {
-                        news = &mut news => break news.map_err(io::Error::from)??,
-                        _ = changes.changed() => {
-                            let ask = self.ask(at, bank, controls);
-                            let waited_for = said.as_ref().is_none_or(|s| s.waits_for(&ask));
-                            let soon = if waited_for { Duration::ZERO } else { GATHER };
-                            next = next.min(Instant::now() + soon);
-                        }
+                        // In this order, so that a simulation plays the same each time, and what is due is said
+                        // however much comes.
+                        biased;
                         () = sleep_until(next) => {
                             let ask = self.ask(at, bank, controls);
                             let first = !ask.second;
@@ -310,6 +306,13 @@
                                 flushed.map_err(io::Error::from)??;
                             }
                         }
+                        news = &mut news => break news.map_err(io::Error::from)??,
+                        () = changes.changed() => {
+                            let ask = self.ask(at, bank, controls);
+                            let waited_for = said.as_ref().is_none_or(|s| s.waits_for(&ask));
+                            let soon = if waited_for { Duration::ZERO } else { GATHER };
+                            next = next.min(Instant::now() + soon);
+                        }
                     }
                 }
             };
--- a/crates/simulation/tests/cells/balancers.rs
+++ b/crates/simulation/tests/cells/balancers.rs
@@ -8,13 +8,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use data_plane::changes::{Changes, Watcher};
 use data_plane::upstreams::AbortOnDrop;
 use data_plane::watch::{CONNECT, Follower, Network, Watch};
 use messages::keys::Counts;
 use messages::wire::{Ask, Balancer, Bank, News};
 use messages::zones::{Taken, ZoneList};
 use tokio::io::{DuplexStream, duplex};
-use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
@@ -22,6 +22,8 @@
 use crate::net::Net;
 use crate::platform::{DRAIN, Platform};
 
+/// Addresses in a settings file.
+const SEEDS: usize = 3;
 /// Until a connection is up.
 const ROUND_TRIP: Duration = Duration::from_millis(6);
 /// Bytes under way on a connection.
@@ -38,7 +40,7 @@
     incomplete: RefCell<BTreeSet<String>>,
     drained: RefCell<BTreeSet<String>>,
     bank: Plain<Option<Bank>>,
-    changes: watch::Sender<u64>,
+    changes: Changes,
 }
 
 impl Memory {
@@ -52,7 +54,7 @@
             incomplete: RefCell::default(),
             drained: RefCell::default(),
             bank: Plain::default(),
-            changes: watch::channel(0).0,
+            changes: Changes::default(),
         })
     }
 
@@ -136,12 +138,12 @@
         self.bank.set(Some(bank));
     }
 
-    fn changes(&self) -> watch::Receiver<u64> {
-        self.changes.subscribe()
+    fn changes(&self) -> Watcher {
+        self.changes.watch()
     }
 
     fn wake(&self) {
-        self.changes.send_modify(|v| *v += 1);
+        self.changes.note();
     }
 }
 
@@ -194,7 +196,12 @@
         let node = format!("b{balancer}");
         let me = Balancer { node, zone: "a".into(), region: "r".into(), http };
         let watch = Watch::over(Path(self.net.clone()), me, memory.clone());
-        watch.seeds(self.net.addresses().into_iter());
+        // Three at first, as a settings file names them: of the core, or any others that serve control.
+        let mut seeds = self.net.addresses();
+        while seeds.len() > SEEDS {
+            seeds.remove(self.net.below(seeds.len() as u64) as usize);
+        }
+        watch.seeds(seeds.into_iter());
         Life { memory, _watch: AbortOnDrop(spawn_local(watch.run())) }
     }
 
--- a/crates/simulation/tests/cells/history.rs
+++ b/crates/simulation/tests/cells/history.rs
@@ -7,9 +7,9 @@
 use tokio::time::Instant;
 
 /// A balancer in touch for so long is owed news.
-pub const CONTACT: Duration = Duration::from_millis(6000);
+pub const CONTACT: Duration = Duration::from_millis(5000);
 /// What was acknowledged before is in force everywhere after this.
-pub const APPLY: Duration = Duration::from_millis(5000);
+pub const APPLY: Duration = Duration::from_millis(2500);
 
 /// An order, by the number that stands in its configuration as `target_ms`.
 pub type Mark = u64;
--- a/crates/simulation/tests/cells/main.rs
+++ b/crates/simulation/tests/cells/main.rs
@@ -22,6 +22,8 @@
 use tokio::time::{Instant, sleep};
 
 const SIZE: usize = 5;
+/// Machines that serve control without a disk.
+const DISKLESS: usize = 3;
 const TOLERATE: u64 = 2;
 const FLEET: usize = 4;
 /// Seeds of a test run. `SIMULATION_SEEDS=from..to` plays others.
@@ -42,7 +44,7 @@
     let first = rng.rand_range(0..SIZE as u64) as usize;
     let some: Vec<usize> = (0..count as usize).map(|i| (first + i) % SIZE).collect();
     let leader = (0..SIZE).find(|i| net.cell(*i).is_some_and(|c| c.leads()));
-    match rng.rand_range(0..9) {
+    match rng.rand_range(0..10) {
         0 => {
             some.iter().for_each(|i| net.kill(*i));
             sleep(lasts).await;
@@ -83,6 +85,17 @@
             sleep(long).await;
             net.heal();
         }
+        9 => {
+            // Halves, whatever may be borne: all others reach both.
+            net.disturb();
+            for a in 0..SIZE / 2 {
+                for b in SIZE / 2..SIZE {
+                    net.cut.borrow_mut().extend([(a, b), (b, a)]);
+                }
+            }
+            sleep(lasts).await;
+            net.heal();
+        }
         8 => {
             // The time of day steps, and the process may come back under it.
             net.step_clock(first);
@@ -101,10 +114,27 @@
     net.disturb();
 }
 
+/// What befalls the machines without a disk, one or all of them, at any time: the core is settled meanwhile.
+async fn bystanders(net: Rc<Net>, mut rng: Rand64) {
+    loop {
+        sleep(Duration::from_millis(500 + rng.rand_range(0..8000))).await;
+        let count = 1 + rng.rand_range(0..DISKLESS as u64) as usize;
+        let machines: Vec<usize> = (SIZE..SIZE + count).collect();
+        let freezes = rng.rand_range(0..2) == 0;
+        for i in &machines {
+            if freezes { net.freeze(*i, true) } else { net.kill(*i) }
+        }
+        sleep(Duration::from_millis(300 + rng.rand_range(0..8000))).await;
+        for i in &machines {
+            if freezes { net.freeze(*i, false) } else { net.start(*i) }
+        }
+    }
+}
+
 async fn play(seed: u64) -> Outcome {
     let mut rng = Rand64::new(u128::from(seed));
     let began = Instant::now();
-    let net = Net::new(seed, SIZE);
+    let net = Net::new(seed, SIZE, DISKLESS);
     let history = Rc::new(History::default());
     let operators = Operators::new(net.clone(), history.clone());
     let platform = Platform::new(net.clone());
@@ -117,7 +147,9 @@
         AbortOnDrop(spawn_local(fleet.clone().watch())),
     ];
     tasks.push(AbortOnDrop(spawn_local(platform.clone().change())));
-    for machine in 0..SIZE {
+    let bystanders = bystanders(net.clone(), Rand64::new(u128::from(seed) ^ 0xd15c));
+    tasks.push(AbortOnDrop(spawn_local(bystanders)));
+    for machine in 0..SIZE + DISKLESS {
         tasks.push(AbortOnDrop(spawn_local(platform.clone().follow(machine))));
     }
     let ends =
--- a/crates/simulation/tests/cells/net.rs
+++ b/crates/simulation/tests/cells/net.rs
@@ -31,12 +31,13 @@
 /// A machine's time of day is off by so many milliseconds at the most.
 const MOST_CLOCK_OFF: u64 = 5000;
 
-pub fn settings(octet: u8) -> Settings {
+pub fn settings(octet: u8, has_disk: bool) -> Settings {
     let ip = format!("10.0.0.{octet}");
+    let disk = if has_disk { r#", "data_dir": "/none""# } else { "" };
     let text = format!(
         r#"{{"node": "n{octet}", "ip": "{ip}", "zone": "a", "region": "r",
             "zone_map": {{"a": "r", "b": "r"}}, "listen": {{"ctl": "{ip}:70"}},
-            "port_range": [7000, 7010], "data_dir": "/none"}}"#
+            "port_range": [7000, 7010]{disk}}}"#
     );
     Settings::parse(Path::new("boot.json"), text.as_bytes()).expect("good")
 }
@@ -78,6 +79,8 @@
 pub struct Machine {
     pub id: NodeId,
     pub octet: u8,
+    /// Without a disk it takes no part in the log, and its troubles are none of the core.
+    pub has_disk: bool,
     pub cell: Option<Rc<Cell>>,
     pub frozen: Rc<Frozen>,
     stored: Stored,
@@ -112,16 +115,19 @@
 }
 
 impl Net {
-    pub fn new(seed: u64, size: usize) -> Rc<Self> {
-        let at = |i: usize| settings(i as u8 + 1).inner().to_string();
-        let voters: BTreeMap<u64, String> = (0..size).map(|i| (i as u64 + 1, at(i))).collect();
+    /// So many machines of the core, and so many that serve control without a disk.
+    pub fn new(seed: u64, core: usize, diskless: usize) -> Rc<Self> {
+        let size = core + diskless;
+        let at = |i: usize| settings(i as u8 + 1, true).inner().to_string();
+        let voters: BTreeMap<u64, String> = (0..core).map(|i| (i as u64 + 1, at(i))).collect();
         let snapshot = Some(Snapshot::of_founders(Members { voters, ..Members::default() }));
         let machine = |i: usize| Machine {
             id: i as u64 + 1,
             octet: i as u8 + 1,
+            has_disk: i < core,
             cell: None,
             frozen: Rc::default(),
-            stored: Stored { snapshot: snapshot.clone(), ..Stored::default() },
+            stored: Stored { snapshot: snapshot.clone().filter(|_| i < core), ..Stored::default() },
             stalled: Instant::now(),
             clock_off: Rc::new(Plain::new(MOST_CLOCK_OFF)),
             tasks: Vec::new(),
@@ -151,6 +157,13 @@
         self.disturbed.set(Instant::now());
     }
 
+    /// Something happens to a machine; it unsettles the core if that is one of it.
+    fn disturb_by(&self, i: usize) {
+        if self.machines.borrow()[i].has_disk {
+            self.disturb();
+        }
+    }
+
     /// Runs something on a machine: it stands still when the machine does.
     pub fn on<F: Future>(&self, i: usize, task: F) -> On<F> {
         On { machine: self.machines.borrow()[i].frozen.clone(), task: Box::pin(task) }
@@ -166,23 +179,23 @@
 
     /// The time of day steps on a machine, either way.
     pub fn step_clock(&self, i: usize) {
-        self.disturb();
+        self.disturb_by(i);
         let off = self.below(2 * MOST_CLOCK_OFF);
         self.machines.borrow()[i].clock_off.set(off);
     }
 
     pub fn start(self: &Rc<Self>, i: usize) {
-        self.disturb();
+        self.disturb_by(i);
         let (to_disk, orders) = disk::channel();
         let (dial, mut requests) = mpsc::unbounded_channel::<DialRequest>();
         let (breaks, _) = mpsc::unbounded_channel();
-        let (id, octet, stored) = {
+        let (id, settings, stored) = {
             let m = &self.machines.borrow()[i];
-            (m.id, m.octet, m.stored.clone())
+            (m.id, settings(m.octet, m.has_disk), m.stored.clone())
         };
         let channels = Channels { disk: to_disk, dial, breaks };
         let environment = self.environment(i);
-        let cell = Cell::new(settings(octet), id, stored, channels, environment);
+        let cell = Cell::new(settings, id, stored, channels, environment);
         cell.seeds(&self.addresses());
         self.reconnect();
         let (done, saved) = mpsc::unbounded_channel();
@@ -215,7 +228,7 @@
 
     /// The process ends; its disk is kept.
     pub fn kill(&self, i: usize) {
-        self.disturb();
+        self.disturb_by(i);
         let m = &mut self.machines.borrow_mut()[i];
         m.cell = None;
         m.tasks.clear();
@@ -235,13 +248,13 @@
     }
 
     pub fn freeze(&self, i: usize, frozen: bool) {
-        self.disturb();
+        self.disturb_by(i);
         let machine = self.machines.borrow()[i].frozen.clone();
         machine.set(frozen);
     }
 
+    /// Its disk answers nothing for a while. That does not unsettle the core.
     pub fn stall_disk(&self, i: usize, lasts: Duration) {
-        self.disturb();
         self.machines.borrow_mut()[i].stalled = Instant::now() + lasts;
     }
 
@@ -255,7 +268,7 @@
 
     /// The addresses of all machines.
     pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.machines.borrow().iter().map(|m| settings(m.octet).inner()).collect()
+        self.machines.borrow().iter().map(|m| settings(m.octet, m.has_disk).inner()).collect()
     }
 
     /// A balancer of the data plane connects to a machine.
@@ -271,7 +284,8 @@
     }
 
     pub fn place(&self, at: SocketAddr) -> Option<usize> {
-        self.machines.borrow().iter().position(|m| settings(m.octet).inner() == at)
+        let machines = self.machines.borrow();
+        machines.iter().position(|m| settings(m.octet, m.has_disk).inner() == at)
     }
 
     pub fn heal(&self) {
--- a/crates/simulation/tests/cells/operators.rs
+++ b/crates/simulation/tests/cells/operators.rs
@@ -189,7 +189,8 @@
 
     async fn read_once(&self) -> Option<control_plane::configuration::Agreed> {
         let at = self.net.below(self.net.size() as u64) as usize;
-        let cell = self.net.cell(at)?;
+        // One without a disk has nothing to read: it points elsewhere.
+        let cell = self.net.cell(at).filter(|cell| cell.me.disk)?;
         let floor = self.history.newest(Instant::now());
         let read = self.net.on(at, async {
             let confirmed = cell.catch_up(ORDER).await;
