Keep a balancer's housekeeping in proportion to its routes, not to their square

Cause: forty times a second each service's module ranked every class of requests against every other, and looked at every upstream for every class.

Change: a class is ranked when a request of it arrives, and the fleet is looked at for a class when an upstream is found shut to it. Classes of a service are found by the route's name in a table. Weights of a split are added up in 64 bits.

--- a/crates/data-plane/src/engine.rs
+++ b/crates/data-plane/src/engine.rs
@@ -130,7 +130,7 @@
             (settings.limits.second_copies, settings.limits.max_attempts);
         if let Some(known) = self.services.get_mut(service) {
             (known.second_copies, known.max_attempts) = (second_copies, max_attempts);
-            return known.balancer.reconfigure(self.clock.now(), settings);
+            return known.balancer.reconfigure(settings);
         }
         let seed = self.terms.seed.wrapping_add(service as u64);
         let balancer = Balancer::new(settings, seed, self.clock.now())?;
--- a/crates/data-plane/src/routes.rs
+++ b/crates/data-plane/src/routes.rs
@@ -94,13 +94,28 @@
 /// A service and the routes that are its classes; an index keeps its meaning for good.
 struct Service {
     name: String,
-    classes: Vec<(String, d::Class)>,
+    classes: Vec<d::Class>,
+    /// The class of each route that it ever had, by the route's name.
+    class_of: FxHashMap<String, usize>,
     warmup: Duration,
     warmup_per_s: f64,
     /// Its upstreams divide its keys.
     sharded: bool,
 }
 
+impl Service {
+    /// The index of a route's class, which is this one from now on.
+    fn take_class(&mut self, route: &str, class: &d::Class) -> usize {
+        if let Some(&known) = self.class_of.get(route) {
+            self.classes[known].clone_from(class);
+            return known;
+        }
+        self.classes.push(class.clone());
+        self.class_of.insert(route.to_string(), self.classes.len() - 1);
+        self.classes.len() - 1
+    }
+}
+
 #[derive(Default)]
 struct Told {
     config_index: u64,
@@ -208,15 +223,19 @@
             for s in &config.services {
                 let warmup = Duration::from_secs_f64(s.warmup_s.clamp(0.0, 86_400.0));
                 let (warmup_per_s, sharded) = (s.warmup_per_s, s.sharded);
-                let (name, classes) = (s.name.clone(), Vec::new());
-                let mut next = Service { name, classes, warmup, warmup_per_s, sharded };
-                match services.iter_mut().find(|k| k.name == s.name) {
-                    Some(known) => {
-                        next.classes = std::mem::take(&mut known.classes);
-                        *known = next;
-                    }
-                    None => services.push(next),
+                if let Some(known) = services.iter_mut().find(|k| k.name == s.name) {
+                    (known.warmup, known.warmup_per_s) = (warmup, warmup_per_s);
+                    known.sharded = sharded;
+                    continue;
                 }
+                services.push(Service {
+                    name: s.name.clone(),
+                    classes: Vec::new(),
+                    class_of: FxHashMap::default(),
+                    warmup,
+                    warmup_per_s,
+                    sharded,
+                });
             }
             let mut by_host: FxHashMap<String, Vec<Rc<Open>>> = FxHashMap::default();
             for route in &config.routes {
@@ -224,14 +243,7 @@
                 let mut parts = Vec::new();
                 for (name, weight) in route.parts() {
                     let Some(s) = services.iter().position(|s| s.name == name) else { continue };
-                    let classes = &mut services[s].classes;
-                    let c = classes.iter().position(|(n, _)| *n == route.name);
-                    let c = c.unwrap_or_else(|| {
-                        classes.push((route.name.clone(), class.clone()));
-                        classes.len() - 1
-                    });
-                    classes[c].1 = class.clone();
-                    parts.push((s, c, weight));
+                    parts.push((s, services[s].take_class(&route.name, &class), weight));
                 }
                 let deadline = Duration::from_millis(route.deadline_ms.min(LONGEST_MS));
                 let lost = Duration::from_millis(route.target_ms) / LOST_OF_TARGET;
@@ -273,7 +285,7 @@
     }
 
     fn settings(&self, service: &Service, bank: Bank) -> d::Settings {
-        let classes: Vec<d::Class> = service.classes.iter().map(|(_, c)| c.clone()).collect();
+        let classes = service.classes.clone();
         let tries = classes.iter().filter_map(|c| c.attempts).max().unwrap_or(1);
         let longest = classes.iter().map(|c| c.deadline).max().unwrap_or(Span(0));
         let mut settings = d::Settings::basic(classes);
@@ -441,17 +453,18 @@
 
     /// Which of a route's services takes the next request: in turn, by weight, spread by the golden ratio.
     fn part(&self, route: &Open) -> Option<(usize, usize)> {
-        let total: u32 = route.parts.iter().map(|p| p.2).sum();
+        let total: u64 = route.parts.iter().map(|p| u64::from(p.2)).sum();
         if total == 0 {
             return None;
         }
         let turn = self.turn.replace(self.turn.get().wrapping_add(0x9e37_79b9));
-        let mut at = ((u64::from(turn) * u64::from(total)) >> 32) as u32;
+        // Weights may add up to more than one of them can be.
+        let mut at = ((u128::from(turn) * u128::from(total)) >> 32) as u64;
         for (service, class, weight) in &route.parts {
-            if at < *weight {
+            if at < u64::from(*weight) {
                 return Some((*service, *class));
             }
-            at -= weight;
+            at -= u64::from(*weight);
         }
         None
     }
--- a/crates/decisions/src/policy/admission.rs
+++ b/crates/decisions/src/policy/admission.rs
@@ -50,7 +50,7 @@
     /// classes worth less for their work get a smaller part of it.
     pub(super) fn admits(&self, class: usize, in_share: bool, resent: bool) -> bool {
         // Failure: a tenant that sent three times its share took the others' part of a full fleet.
-        let part = if in_share { self.fleet.part[class] } else { 0.0 };
+        let part = if in_share { self.part_of(class) } else { 0.0 };
         let room = &self.rooms[self.room_of[class]];
         // Failure: in overload the room for bursts went to repeats, who can only be late, and first tries
         // were refused for it and came again.
@@ -60,21 +60,24 @@
         n == 0.0 || ((room.queued + room.in_flight) as f64) < n.max(1.0)
     }
 
+    /// The part of the bearable wait that a class may use, by how much it is worth for its work beside those that
+    /// ask for as much. Failure: beside routes hardly asked for, the one with all the traffic had the least part.
+    fn part_of(&self, class: usize) -> f64 {
+        let f = &self.fleet;
+        let value = |c: usize| self.settings.classes[c].worth / f.mean[c].max(1.0);
+        let (own, least) = (value(class), f.share[class] * RIVAL);
+        let rivals = (0..f.share.len()).filter(|&c| f.share[c] > least);
+        let rivals: Vec<f64> = rivals.map(value).collect();
+        let below = rivals.iter().filter(|&&rival| rival < own).count() as f64;
+        let rank = if rivals.len() <= 1 { 1.0 } else { below / (rivals.len() - 1) as f64 };
+        LEAST_PART + (1.0 - LEAST_PART) * rank.min(1.0)
+    }
+
     pub(super) fn refresh_admission(&mut self) {
         let f = &mut self.fleet;
-        let classes = &self.settings.classes;
         let bear = |(c, m): (&Class, &f64)| c.aim.f() * HOLD_OF_AIM - m;
-        f.bearable = classes.iter().zip(&f.mean).map(bear).fold(f64::MAX, f64::min).max(0.0);
-        let value = |c: usize, m: &[f64]| classes[c].worth / m[c].max(1.0);
-        for c in 0..classes.len() {
-            // Failure: beside routes hardly asked for, the one with all the traffic had the least part.
-            let rivals = (0..classes.len()).filter(|&o| f.share[o] > f.share[c] * RIVAL);
-            let rivals: Vec<f64> = rivals.map(|o| value(o, &f.mean)).collect();
-            let below = rivals.iter().filter(|&&v| v < value(c, &f.mean)).count();
-            let rank =
-                if rivals.len() <= 1 { 1.0 } else { below as f64 / (rivals.len() - 1) as f64 };
-            f.part[c] = LEAST_PART + (1.0 - LEAST_PART) * rank.min(1.0);
-        }
+        let bear = self.settings.classes.iter().zip(&f.mean).map(bear);
+        f.bearable = bear.fold(f64::MAX, f64::min).max(0.0);
     }
 
     pub(super) fn refuse(&mut self, request: RequestId, out: &mut Vec<Action>) {
--- a/crates/decisions/src/policy/dispatch.rs
+++ b/crates/decisions/src/policy/dispatch.rs
@@ -1,5 +1,7 @@
 //! The queue, and the choice of an upstream with a free slot.
 
+use std::cell::LazyCell;
+
 use super::*;
 
 impl Balancer {
@@ -92,10 +94,22 @@
         }
     }
 
+    /// Whether so much of the fleet is shut to a class that it is open to it all the same. Failure: looked at for
+    /// every class again and again, a thousand routes took all the time of a small machine.
+    fn panics(&self, now: Time, class: usize) -> bool {
+        let open = self.order.iter().map(|&i| &self.servers[i]);
+        let open = open.filter(|s| self.open_to(Some(class), s));
+        let (all, shut) = open.fold((0.0, 0.0), |(all, shut), s| {
+            (all + 1.0, shut + f64::from(now < s.by_class[class].until))
+        });
+        shut > all * PANIC
+    }
+
     /// The first upstream in the order of cost that has a free slot. One that already failed this request
     /// comes last. Lanes on trial are filled once the ordinary slots are all taken.
     pub(super) fn pick(&self, now: Time, id: RequestId, full: bool) -> Option<usize> {
         let e = self.requests.get(&id)?;
+        let panics = LazyCell::new(|| self.panics(now, e.class));
         let only = e.shard.map(|key| self.holders.of(now, key));
         let mut last: Option<(bool, f64, usize)> = None;
         for &i in &self.order {
@@ -111,7 +125,7 @@
             let most = if s.silent >= SILENT { 1 } else { self.k(s, trial) };
             // Failure: a proxy at its limit sent on trial to upstreams that it had left idle as slow.
             let taken = load >= f64::from(most) || (full && s.in_flight < self.k(s, 0));
-            let shut = now < s.by_class[e.class].until && !self.panic[e.class];
+            let shut = now < s.by_class[e.class].until && !*panics;
             if taken || shut || now < s.breaker.until || !self.may_send(now, id, e, i) {
                 continue;
             }
--- a/crates/decisions/src/policy/estimates.rs
+++ b/crates/decisions/src/policy/estimates.rs
@@ -193,20 +193,12 @@
         Some((s.in_flight, self.k(s, 0), self.n_rate(s) * t.f()))
     }
 
-    pub(super) fn refresh_fleet(&mut self, now: Time) {
+    pub(super) fn refresh_fleet(&mut self) {
         let tp2 = self.servers.iter().filter_map(|s| s.est.tp2);
         let (sum, seen) = tp2.fold((0.0, 0.0), |(sum, seen), t| (sum + t, seen + 1.0));
         if seen > 0.0 {
             self.fleet.tp2 = sum / seen;
         }
-        let shut = |c: usize| {
-            let open = |i: &&usize| self.open_to(Some(c), &self.servers[**i]);
-            let (all, shut) = self.order.iter().filter(open).fold((0.0, 0.0), |(all, shut), &i| {
-                (all + 1.0, shut + f64::from(now < self.servers[i].by_class[c].until))
-            });
-            shut > all * PANIC
-        };
-        self.panic = (0..self.room_of.len()).map(shut).collect();
         for r in 0..self.rooms.len() {
             // Failure: the sums counted a lost zone for as long as the list did, and queues outgrew the aim.
             let class = self.rooms[r].class;
--- a/crates/decisions/src/policy/members.rs
+++ b/crates/decisions/src/policy/members.rs
@@ -10,18 +10,15 @@
         list: &[Member],
         out: &mut Vec<Action>,
     ) {
-        match kind {
-            ListKind::Unavailable => {
-                self.ask.subscribed = false;
-                self.ask.failures = (self.ask.failures + 1).min(3);
-                let wait = ASK_JITTER_OF_EVERY * f64::from(1 << self.ask.failures);
-                self.ask.next = now.plus(self.jitter(wait));
-                return;
-            }
-            ListKind::Restored => {}
-            ListKind::Update | ListKind::Whole => {
-                (self.ask.subscribed, self.ask.failures) = (true, 0)
-            }
+        if kind == ListKind::Unavailable {
+            self.ask.subscribed = false;
+            self.ask.failures = (self.ask.failures + 1).min(3);
+            let wait = ASK_JITTER_OF_EVERY * f64::from(1 << self.ask.failures);
+            self.ask.next = now.plus(self.jitter(wait));
+            return;
+        }
+        if kind != ListKind::Restored {
+            (self.ask.subscribed, self.ask.failures) = (true, 0);
         }
         let before: Vec<Status> = self.servers.iter().map(|s| s.status).collect();
         if kind != ListKind::Update {
@@ -39,7 +36,7 @@
         self.forget(now);
         self.draw_parts();
         self.refresh_warm(now);
-        self.refresh_fleet(now);
+        self.refresh_fleet();
         self.dispatch(now, out);
     }
 
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -133,8 +133,6 @@
     /// Attempts that are out, and further ones that what is overdue may still have.
     out: Vec<(RequestId, usize)>,
     extra: f64,
-    /// Whether so much of the fleet is shut to a class that it is open to it all the same.
-    panic: Vec<bool>,
     fleet: Fleet,
     holders: Holders,
     /// What each tenant may still send within its share.
@@ -168,7 +166,6 @@
             room_of,
             out: Vec::new(),
             extra: 1.0,
-            panic: vec![false; classes],
             fleet: Fleet::new(classes, t_qos, t_qos * TS_PRIOR_OF_QOS, LEEWAY, now),
             holders: Holders::default(),
             quotas: settings.tenants.iter().map(|_| Quota { tokens: 1.0, counted: now }).collect(),
@@ -179,7 +176,7 @@
 
     /// Takes over other settings in service; classes keep what was learned of them by their index. Its host
     /// keeps an index for as long as a request of that class is open.
-    pub fn reconfigure(&mut self, now: Time, settings: Settings) -> Result<(), SettingsError> {
+    pub fn reconfigure(&mut self, settings: Settings) -> Result<(), SettingsError> {
         let settings = settings.checked()?;
         let classes = settings.classes.len().max(self.settings.classes.len());
         if classes > settings.classes.len() {
@@ -187,14 +184,13 @@
         }
         self.t_qos = settings.t_qos();
         (self.rooms, self.room_of) = settings.rooms();
-        self.panic.resize(classes, false);
         self.fleet.resize(classes);
         self.servers.iter_mut().for_each(|s| s.by_class.resize(classes, Breaker::default()));
         self.settings = settings;
         let held: Vec<_> = self.requests.values().filter(|e| e.held).map(|e| e.class).collect();
         held.into_iter().for_each(|class| self.count_queued(class, 1));
         self.draw_parts();
-        self.refresh_fleet(now);
+        self.refresh_fleet();
         Ok(())
     }
 
@@ -232,7 +228,7 @@
         self.watch(now);
         self.refresh_warm(now);
         self.refresh_lanes(now);
-        self.refresh_fleet(now);
+        self.refresh_fleet();
         self.expire(now, out);
         self.dispatch(now, out);
         self.lines.retain(|_, l| !l.waiting.is_empty() || now < l.rest_until);
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -204,9 +204,8 @@
     pub(crate) share: Vec<f64>,
     /// Share of the attempts for which the time of a second copy came and that were never answered.
     pub(crate) hopeless: Vec<f64>,
-    /// The longest wait that each class can bear, and the part of it that a class may use.
+    /// The longest wait that each class can bear.
     pub(crate) bearable: f64,
-    pub(crate) part: Vec<f64>,
     pub(crate) tp2: f64,
     /// By kind of upstream.
     pub(crate) lanes: Vec<Lanes>,
@@ -232,7 +231,6 @@
         let mut fleet = Self {
             ts,
             bearable: ts,
-            part: vec![1.0; classes],
             lanes: vec![Lanes::new()],
             tried: now,
             leeway,
@@ -248,7 +246,7 @@
     /// Makes room for more classes, of which nothing is known.
     pub(crate) fn resize(&mut self, classes: usize) {
         let known = [&mut self.mean, &mut self.dev, &mut self.share, &mut self.hopeless];
-        for per_class in known.into_iter().chain([&mut self.part]) {
+        for per_class in known {
             per_class.resize(classes, 0.0);
         }
     }
--- a/crates/decisions/tests/told.rs
+++ b/crates/decisions/tests/told.rs
@@ -183,11 +183,11 @@
     let (id, sent) = host.ask(0);
     let mut more = settings();
     more.classes.push(class(Effect::Safe));
-    host.balancer.reconfigure(host.now, more).expect("one class more");
+    host.balancer.reconfigure(more).expect("one class more");
     assert!(host.answer(id, sent.expect("sent"), 0.0).is_empty());
     assert!(host.ask(3).1.is_some(), "the new class is served");
     let fewer = Settings { classes: vec![class(Effect::Safe)], ..settings() };
-    assert_eq!(host.balancer.reconfigure(host.now, fewer), Err(SettingsError::FewerClasses(4)));
+    assert_eq!(host.balancer.reconfigure(fewer), Err(SettingsError::FewerClasses(4)));
     assert!(host.ask(3).1.is_some(), "and all is as it was");
 }
 
@@ -365,3 +365,35 @@
     let refused = |a: &Action| matches!(a, Action::Refuse { request, .. } if *request == homeless);
     assert!(swept.iter().any(refused), "a quarter of its aim has passed: {swept:?}");
 }
+
+/// The least time that a balancer of so many classes takes for a second of its housekeeping.
+fn housekeeping(classes: usize) -> std::time::Duration {
+    let class = Class::safe(Span(200 * MS), Span(600 * MS));
+    let settings = Settings::basic(vec![class; classes]);
+    let mut balancer = Balancer::new(settings, 7, Time(0)).expect("settings are sound");
+    let mut out = Vec::new();
+    let upstreams: Vec<_> = (0..40).map(|i| told(i, 4, 0)).collect();
+    balancer.handle(Time(0), Event::Members { kind: ListKind::Whole, list: &upstreams }, &mut out);
+    let token = out.iter().find_map(|action| match action {
+        Action::Arm { token, .. } => Some(*token),
+        _ => None,
+    });
+    let token = token.expect("it keeps time");
+    let second = |from: i64| {
+        let began = std::time::Instant::now();
+        for sweep in 0..40 {
+            balancer.handle(Time(from + sweep * 25 * MS), Event::Timer(token), &mut out);
+            out.clear();
+        }
+        began.elapsed()
+    };
+    (0..5).map(|n| n * 1000 * MS).map(second).min().expect("some")
+}
+
+#[test]
+fn housekeeping_grows_no_faster_than_the_routes() {
+    // Failure: it grew with their square, and 900 routes took all the time of a small machine. Sixteen times as many
+    // would be 256 times as much then; a busy machine may double a figure.
+    let (few, many) = (housekeeping(100), housekeeping(1600));
+    assert!(many < 64 * few, "{few:?} for 100 routes, {many:?} for 1,600");
+}
