Claim no contact where a control process has no disk

Cause: a control process without a disk took the confirmation that somebody leads for a proof that it had applied all that was acknowledged, and told balancers whose seeds name it that it was in contact, although it holds nothing that is agreed on and never will.

Change: catching up never succeeds without a disk. Its sessions hear that it is out of contact, and leave it for whoever else there is. Reads were pointed elsewhere before, and still are.

Test: one_without_a_disk_is_never_in_contact_and_delays_no_news fails without it.

--- a/crates/control-plane/src/cell/contact.rs
+++ b/crates/control-plane/src/cell/contact.rs
@@ -87,8 +87,13 @@
         }
     }
 
-    /// Waits until all that was acknowledged before this call is applied here; whether it came to that.
+    /// Waits until all that was acknowledged before this call is applied here; whether it came to that. It never does
+    /// where there is no disk. Failure: one without a disk took the confirmation that somebody leads for contact,
+    /// and told balancers so, while it held nothing of what is agreed on.
     pub async fn catch_up(&self, within: Duration) -> bool {
+        if !self.me.disk {
+            return false;
+        }
         let (began, until) = (self.now(), Instant::now() + within);
         loop {
             // A leader that was just lost does not answer: ask whoever leads next.
--- a/crates/control-plane/tests/common/balancers.rs
+++ b/crates/control-plane/tests/common/balancers.rs
@@ -15,7 +15,7 @@
 use tokio::io::{DuplexStream, duplex};
 use tokio::time::{Instant, sleep};
 
-use super::{Net, SIZE, settings, spawn};
+use super::{DISKLESS, Net, SIZE, settings, spawn};
 
 /// Until a connection is up.
 const ROUND_TRIP: Duration = Duration::from_millis(30);
@@ -77,6 +77,11 @@
     }
 }
 
+/// The cells that a balancer may call.
+fn callable() -> impl Iterator<Item = usize> {
+    (0..SIZE).chain([DISKLESS])
+}
+
 /// The way from one balancer to the cells.
 struct Way {
     net: Rc<Net>,
@@ -89,7 +94,7 @@
     type Stream = DuplexStream;
 
     async fn dial(&self, at: SocketAddr) -> io::Result<DuplexStream> {
-        let i = (0..SIZE).find(|i| settings(*i).inner() == at).ok_or(io::ErrorKind::NotFound)?;
+        let i = callable().find(|i| settings(*i).inner() == at).ok_or(io::ErrorKind::NotFound)?;
         self.told.dialled.borrow_mut().push(i);
         let Some(cell) = self.net.cell(i).filter(|_| self.reaches.contains(&i)) else {
             sleep(CONNECT).await;
@@ -133,7 +138,7 @@
     let me = Balancer { node, zone, region, http };
     let way = Way { net: net.clone(), told: told.clone(), reaches: reaches.to_vec() };
     let watch = Watch::over(way, me, told.clone());
-    watch.seeds((0..SIZE).map(at));
+    watch.seeds(callable().filter(|i| *i < SIZE || reaches.contains(i)).map(at));
     (told, spawn(watch.run()))
 }
 
--- a/crates/control-plane/tests/contact.rs
+++ b/crates/control-plane/tests/contact.rs
@@ -255,3 +255,23 @@
         assert!(until(2 * SECOND, || cell.members().len() == sessions.len()).await, "all are told");
     });
 }
+
+#[test]
+fn one_without_a_disk_is_never_in_contact_and_delays_no_news() {
+    simulated(|net, follower| async move {
+        net.start(DISKLESS);
+        sleep(2 * SECOND).await;
+        let diskless = net.cell(DISKLESS).expect("up");
+        assert!(!diskless.catch_up(SECOND).await, "it holds nothing of what is agreed on");
+        assert!(!diskless.in_contact());
+        // Of the core it reaches one alone, so that it has nobody else for its other session.
+        let (told, _one) = balancer(&net, "holder", &[follower], &[follower, DISKLESS]);
+        assert!(until(2 * APPLY, || told.has(&version(1))).await);
+        agree(&net, &ALL, 1, 2).await;
+        let soon = Duration::from_millis(200);
+        assert!(
+            until(soon, || told.has(&version(2))).await,
+            "told by who has it, not a moment later"
+        );
+    });
+}
