--- a/crates/data-plane/src/routes/tests.rs
+++ b/crates/data-plane/src/routes/tests.rs
@@ -1,3 +1,8 @@
+use std::sync::Arc;
+
+use messages::compact::CompactConfig;
+use messages::config::{Part, Service};
+
 use super::*;
 
 #[test]
@@ -13,3 +18,108 @@
     assert_eq!(seen(31, 4000), 12_000, "of the span before");
     assert_eq!(seen(62, 4000), 4000, "clients have less time by now");
 }
+
+/// Routes without a connection anywhere.
+fn routes() -> Rc<Routes> {
+    let text = r#"{"node": "n", "ip": "127.0.0.1", "zone": "a", "region": "r", "zone_map": {"a": "r"},
+        "listen": {}, "port_range": [7000, 7010]}"#;
+    let settings =
+        Settings::parse(std::path::Path::new("boot.json"), text.as_bytes()).expect("good");
+    let pool = crate::upstreams::Pool::new(crate::upstreams::Terms {
+        most: 1,
+        keepalive: Duration::from_secs(5),
+        connect_timeout: Duration::from_millis(250),
+        answers: 1 << 20,
+        dialect: crate::node::dialect(),
+    });
+    let terms = engine::Terms {
+        seed: 1,
+        headroom: Duration::ZERO,
+        drain_grace: Duration::ZERO,
+        grid: Duration::from_millis(1),
+        subscribe: None,
+    };
+    let (_, handle) = engine::Engine::new(terms, pool);
+    Routes::new(&settings, handle, Box::new(|_| {}))
+}
+
+/// A configuration drawn by lot: services and routes come and go, and come again under their names; routes move
+/// between services, share two, and are renamed where they stand.
+fn drawn(rng: &mut oorandom::Rand64, rev: u64) -> Config {
+    let mut below = |most: u64| rng.rand_range(0..most) as usize;
+    let service = |n: usize| Service { name: format!("s{n}"), ..Service::default() };
+    let services: Vec<_> = (0..1 + below(6)).map(service).collect();
+    let mut routes = Vec::new();
+    for place in (0..40).filter(|_| below(3) > 0).collect::<Vec<_>>() {
+        let mut part =
+            || Part { svc: services[below(services.len() as u64)].name.clone(), weight: 1 };
+        let (one, other) = (part(), part());
+        let shared = one.svc != other.svc && below(3) == 0;
+        routes.push(Route {
+            name: format!("r{}-{place}", below(3)),
+            host: format!("Host{}.example", place % 4),
+            // One prefix is the beginning of another.
+            path_prefix: format!("/{}", "p/".repeat(1 + place / 4)),
+            kind: Kind::Idempotent,
+            deadline_ms: 1 + place as u64,
+            target_ms: 1,
+            prio: 0,
+            svc: (!shared).then(|| one.svc.clone()),
+            split: shared.then(|| vec![one, other]),
+            tries: 1,
+            home_regions: Vec::new(),
+        });
+    }
+    Config { rev, routes, services, limits: Limits::default() }
+}
+
+/// The route for a path, and its services, as the configuration says.
+fn owed<'a>(config: &'a Config, host: &str, path: &str) -> Option<(u64, Vec<&'a str>)> {
+    let fits = |r: &&Route| r.host.eq_ignore_ascii_case(host) && path.starts_with(&r.path_prefix);
+    let route = config.routes.iter().filter(fits).max_by_key(|r| r.path_prefix.len())?;
+    Some((route.deadline_ms, route.parts().into_iter().map(|(name, _)| name).collect()))
+}
+
+#[tokio::test]
+async fn each_configuration_is_in_force_whole_whatever_was_before_it() {
+    let test = async {
+        let (routes, mut rng) = (routes(), oorandom::Rand64::new(22));
+        let mut current = Config::default();
+        for round in 1..=300 {
+            // At times one comes late that is older than what is in force.
+            let late = round > 5 && rng.rand_range(0..4) == 0;
+            let config = drawn(&mut rng, round);
+            let told = Arc::new(CompactConfig::of(&config));
+            let index = if late { round - 5 } else { 10 * round };
+            routes.take_news(index, told);
+            if !late {
+                current = config;
+            }
+            for place in 0..44 {
+                let (host, path) = (format!("hOST{}.example:80", place % 4), "/p/".to_string());
+                let path = path + &"p/".repeat(place / 4) + "file";
+                let found = routes.route(&host, &path);
+                let services = routes.services.borrow();
+                let parts = found.as_ref().map(|route| {
+                    let name = |(service, class, _): &(usize, usize, u32)| {
+                        assert!(*class < services[*service].classes.len(), "a class of its own");
+                        services[*service].name.as_str()
+                    };
+                    let names = route.parts.iter().map(name).collect();
+                    (route.deadline.as_millis() as u64, names)
+                });
+                let host = host.trim_end_matches(":80");
+                assert_eq!(parts, owed(&current, host, &path), "round {round}, {host}{path}");
+            }
+        }
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
+
+impl Routes {
+    /// Takes in what a session brings.
+    fn take_news(&self, index: u64, config: Arc<CompactConfig>) {
+        let news = News { config: Some((index, config)), ..News::default() };
+        Follower::take(self, &news);
+    }
+}
--- a/crates/messages/src/config.rs
+++ b/crates/messages/src/config.rs
@@ -53,7 +53,7 @@
 }
 
 /// Upstreams that do the same.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 pub struct Service {
     pub name: String,
     #[serde(default)]
