Let routes that were moved or dropped no longer bind those left at their service

Cause: a class of requests keeps its index for good, and its target went on to count in T_QoS and in the wait that all classes of the service can bear, after its route had gone.

Change: classes that no route has any more are retired and count in neither.

--- a/crates/data-plane/src/routes.rs
+++ b/crates/data-plane/src/routes.rs
@@ -230,6 +230,8 @@
                     sharded,
                 });
             }
+            let known = services.iter_mut().flat_map(|s| &mut s.classes);
+            known.for_each(|class| class.retired = true);
             let mut by_host: FxHashMap<String, Vec<Rc<Open>>> = FxHashMap::default();
             for route in &config.routes {
                 let class = self.class(route);
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -92,6 +92,8 @@
     pub kinds: Option<Vec<u32>>,
     /// Most attempts of one request, where that is fewer than the site allows.
     pub attempts: Option<usize>,
+    /// No new request has it: its figures bind no other class.
+    pub retired: bool,
 }
 
 /// A tenant and its share of the service.
@@ -258,6 +260,7 @@
             zones: None,
             kinds: None,
             attempts: None,
+            retired: false,
         }
     }
 }
--- a/crates/decisions/src/policy/admission.rs
+++ b/crates/decisions/src/policy/admission.rs
@@ -75,8 +75,8 @@
 
     pub(super) fn refresh_admission(&mut self) {
         let f = &mut self.fleet;
-        let bear = |(c, m): (&Class, &f64)| c.aim.f() * HOLD_OF_AIM - m;
-        let bear = self.settings.classes.iter().zip(&f.mean).map(bear);
+        let known = self.settings.classes.iter().zip(&f.mean).filter(|(c, _)| !c.retired);
+        let bear = known.map(|(c, mean)| c.aim.f() * HOLD_OF_AIM - mean);
         f.bearable = bear.fold(f64::MAX, f64::min).max(0.0);
     }
 
--- a/crates/decisions/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -276,6 +276,7 @@
             in_order: s.by_arrival,
             zones: s.zones_allowed.clone(),
             kinds: s.bound_to.clone(),
+            retired: false,
             attempts: None,
         };
         let limits = &facts.policy_limits;
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -283,9 +283,16 @@
 const SWEEP_OF_AIM: f64 = 1.0 / 32.0;
 
 impl Settings {
+    /// The classes that new requests have. Failure: a route that was moved or dropped went on to bind those that
+    /// were left at its former service by its target.
+    pub(crate) fn in_force(&self) -> impl Iterator<Item = &Class> {
+        self.classes.iter().filter(|class| !class.retired)
+    }
+
     /// T_QoS: one target for all, the mean of the class aims.
     pub(crate) fn t_qos(&self) -> f64 {
-        self.classes.iter().map(|c| c.aim.f()).sum::<f64>() / self.classes.len() as f64
+        let (all, sum) = self.in_force().fold((0.0, 0.0), |(n, sum), c| (n + 1.0, sum + c.aim.f()));
+        if all > 0.0 { sum / all } else { self.classes[0].aim.f() }
     }
 
     pub(crate) fn sweep_every(&self) -> Span {
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -24,6 +24,7 @@
         zones: None,
         kinds: None,
         attempts: None,
+        retired: false,
     }
 }
 
--- a/crates/decisions/tests/told.rs
+++ b/crates/decisions/tests/told.rs
@@ -397,3 +397,25 @@
     let (few, many) = (housekeeping(100), housekeeping(1600));
     assert!(many < 64 * few, "{few:?} for 100 routes, {many:?} for 1,600");
 }
+
+#[test]
+fn the_target_of_a_route_that_is_gone_binds_no_other() {
+    let class = |aim: i64| Class::safe(Span(aim * MS), Span(2000 * MS));
+    let tight = Class { retired: true, ..class(20) };
+    let admitted = |classes: Vec<Class>| {
+        let mut host = Host::new(Settings::basic(classes), &[told(1, 4, 0), told(2, 4, 0)]);
+        let known = host.balancer.upstream(ServerId(1), Span(400 * MS));
+        let mut out = Vec::new();
+        for id in 0..200 {
+            let request = Request::new(RequestId(id), 0, Time(host.now.0 + 2000 * MS));
+            host.balancer.handle(host.now, Event::Request(request), &mut out);
+        }
+        let refused = |action: &&Action| matches!(action, Action::Refuse { .. });
+        (known, out.iter().filter(refused).count())
+    };
+    let alone = admitted(vec![class(400)]);
+    assert!(alone.1 > 0, "some find no room");
+    assert_eq!(admitted(vec![class(400), tight.clone()]), alone);
+    let bound = admitted(vec![class(400), Class { retired: false, ..tight }]);
+    assert!(bound.1 > alone.1, "one in force does");
+}
