--- /dev/null
+++ b/crates/data-plane/src/routes/following.rs
@@ -0,0 +1,112 @@
+//! What the sessions with the control plane bring, and what they are told.
+
+use super::*;
+
+impl Follower for Routes {
+    fn ask(&self) -> Ask {
+        let told = self.told.borrow();
+        let has = |(zone, list): (&String, &ZoneList)| {
+            let version = if told.wanted.contains(zone) { 0 } else { list.version() };
+            (zone.clone(), version)
+        };
+        Ask {
+            config: told.config_index,
+            evacuated: told.evacuated_index,
+            keys: told.keys_index,
+            zones: told.zones.iter().map(has).collect(),
+            ready: told.config_index > 0 && self.engine.ready(),
+            leaving: self.leaving.get(),
+            ..Ask::default()
+        }
+    }
+
+    fn take(&self, news: &News) -> bool {
+        let (mut settings, mut lists, mut gap) = (false, false, false);
+        let known = self.told.borrow().config_index;
+        if let Some((index, told)) = news.config.as_ref().filter(|(index, _)| *index > known) {
+            self.configure(*index, &told.config());
+            (settings, lists) = (true, true);
+        }
+        let mut changed = Vec::new();
+        for (zone, told) in &news.zones {
+            let mut known = self.told.borrow_mut();
+            let list = known.zones.entry(zone.clone()).or_default();
+            match list.take(told, self.now()) {
+                Taken::Old(ids) if ids.is_empty() => {}
+                Taken::Old(ids) | Taken::New(ids) => {
+                    self.note_cold(list, &ids);
+                    known.wanted.remove(zone);
+                    changed.push((zone, ids));
+                }
+                Taken::Gap => {
+                    tracing::debug!(zone, "a difference that builds on something else");
+                    known.wanted.insert(zone.clone());
+                    gap = true;
+                }
+            }
+        }
+        let known = self.told.borrow().evacuated_index;
+        if let Some((index, zones)) = news.evacuated.as_ref().filter(|(index, _)| *index > known) {
+            let before = {
+                let mut told = self.told.borrow_mut();
+                told.evacuated_index = *index;
+                std::mem::replace(&mut told.evacuated, zones.clone())
+            };
+            before.iter().filter(|z| !zones.contains(z)).for_each(|z| self.returned(z));
+            lists = true;
+        }
+        let known = self.told.borrow().keys_index;
+        let keys = news.keys.as_ref().filter(|(index, _)| *index > known);
+        if let Some((index, services)) = keys {
+            let mut told = self.told.borrow_mut();
+            told.keys_index = *index;
+            for (service, rows) in services {
+                told.keys.entry(service.clone()).or_default().take(rows);
+            }
+        }
+        let any = lists || !changed.is_empty() || keys.is_some();
+        if settings {
+            self.tell_settings();
+        }
+        if lists {
+            self.tell_lists();
+        } else {
+            changed.into_iter().for_each(|(zone, ids)| self.tell_changes(zone, ids));
+        }
+        if settings {
+            let names: Vec<String> = self.told.borrow().keys.keys().cloned().collect();
+            self.tell_holders(names.iter());
+        } else if let Some((_, services)) = keys {
+            self.tell_holders(services.keys());
+        }
+        if any {
+            self.changed();
+        }
+        gap
+    }
+
+    fn work(&self) -> Counts {
+        let services = self.services.borrow();
+        let mut counts = Counts::new();
+        for ((service, run), took) in self.engine.work() {
+            let spent = (took.as_millis() / u128::from(SPENT_MS)).min(u128::from(u16::MAX));
+            let of = counts.entry(services[service].name.clone()).or_default();
+            of.push((run, spent as u16));
+        }
+        counts
+    }
+
+    fn bank(&self, bank: Bank) {
+        if self.told.borrow_mut().bank.replace(bank) != Some(bank) {
+            self.tell_settings();
+        }
+    }
+
+    fn changes(&self) -> Watcher {
+        self.version.watch()
+    }
+
+    fn wake(&self) {
+        self.changed();
+    }
+}
