Keep one session looking for a member of the core while the other is with a stopgap

Its core's processes rested after having failed for a moment, so both sessions went to control processes without a disk that its seeds name, and these stood still, which does not unsettle the core.

Change: of the two sessions one at most is with a control process that is no member, once members are known. The other goes on with members that rest, in the order in which their rests end. A member out of contact is not left for one that is none.

The generated configurations also hold parts of no weight that name unknown services: a deliberate fault showed that they did not.

--- a/crates/control-plane/tests/validity.rs
+++ b/crates/control-plane/tests/validity.rs
@@ -34,7 +34,7 @@
 }
 
 /// Where a field stands.
-const PLACES: [&str; 22] = [
+const PLACES: [&str; 23] = [
     "/rev",
     "/routes",
     "/services",
@@ -52,6 +52,7 @@
     "/routes/2/split",
     "/routes/2/split/0/svc",
     "/routes/2/split/0/weight",
+    "/routes/2/split/1/svc",
     "/routes/2/split/1/weight",
     "/services/0",
     "/services/0/name",
--- a/crates/data-plane/src/watch.rs
+++ b/crates/data-plane/src/watch.rs
@@ -6,6 +6,10 @@
 //! control balancer at once, if one may be of more use; never both sessions at a time, because the directory names
 //! those whose session stands somewhere.
 //!
+//! Seeds may name control balancers without a disk, which hold nothing that is agreed on. They tell who serves
+//! control, and a session with one keeps the balancer in the directory while nobody else answers; but the other
+//! session goes on looking for a member of the core.
+//!
 //! **Neighbours down.** Without any control balancer, or with none in contact, all stays as it was last told; who
 //! was told nothing yet is not ready.
 
@@ -106,11 +110,21 @@
 }
 
 impl Known {
-    fn rests(&self) -> bool {
-        self.rests_until.is_some_and(|until| Instant::now() < until)
+    /// Until when others come first, if they do.
+    fn rest(&self) -> Option<Instant> {
+        self.rests_until.filter(|until| Instant::now() < *until)
+    }
+
+    /// Whether it is known to take part in the log: those that are told of do.
+    fn is_member(&self) -> bool {
+        self.at.is_some()
     }
 }
 
+/// How a control balancer compares with others: the least is called first. Of those that rest it is the one whose
+/// rest ends first, so that they are called in turn.
+type Distance = (Option<Instant>, u8, u64);
+
 /// Why a session ended.
 #[derive(Debug, thiserror::Error)]
 enum Ended {
@@ -211,29 +225,44 @@
     }
 
     /// How far a control balancer is, and in one order for each balancer, so that they spread.
-    fn distance(&self, at: SocketAddr, known: &Known) -> (bool, u8, u64) {
+    fn distance(&self, at: SocketAddr, known: &Known) -> Distance {
         let far = match &known.at {
             Some(c) if c.zone == self.me.zone => 0,
             Some(c) if c.region == self.me.region => 1,
             _ => 2,
         };
         let spread = decisions::settings::stable_hash(&format!("{at}{}", self.me.node));
-        (known.rests(), far, spread)
+        (known.rest(), far, spread)
+    }
+
+    /// Whether another session is with a control balancer that is no member, while members are known. Failure: after
+    /// a loss of power both were, while the members rested, and a change was missed as they stood still.
+    fn has_stopgap(&self, at: Option<SocketAddr>) -> bool {
+        let known = self.known.borrow();
+        let stopgap =
+            |(other, k): (&SocketAddr, &Known)| Some(*other) != at && k.in_use && !k.is_member();
+        known.values().any(Known::is_member) && known.iter().any(stopgap)
     }
 
     fn nearest(&self) -> Option<SocketAddr> {
+        let members_only = self.has_stopgap(None);
         let known = self.known.borrow();
-        let free = known.iter().filter(|(_, k)| !k.in_use);
+        let free = known.iter().filter(|(_, k)| !k.in_use && (k.is_member() || !members_only));
         free.min_by_key(|(at, k)| self.distance(**at, k)).map(|(at, _)| *at)
     }
 
-    /// Whether another one that is not in use is nearer than this.
+    /// Whether another one that is not in use is nearer than this, or this is the second that is no member.
     fn is_far(&self, at: SocketAddr) -> bool {
+        let is_second_stopgap = self.has_stopgap(Some(at));
         let known = self.known.borrow();
-        let own = known.get(&at).map(|k| self.distance(at, k));
-        let free = known.iter().filter(|(_, k)| !k.in_use && k.at.is_some());
+        let Some(own) = known.get(&at) else { return false };
+        if is_second_stopgap && !own.is_member() {
+            return true;
+        }
+        let own = self.distance(at, own);
+        let free = known.iter().filter(|(_, k)| !k.in_use && k.is_member());
         let best = free.map(|(at, k)| self.distance(*at, k)).min();
-        best.zip(own).is_some_and(|(best, own)| (best.0, best.1) < (own.0, own.1))
+        best.is_some_and(|best| (best.0.is_some(), best.1) < (own.0.is_some(), own.1))
     }
 
     /// Another session brings the news from now on; it hears of that by what is said next.
@@ -254,7 +283,9 @@
     /// Whether another control balancer may be of more use than this one, which is out of contact.
     fn has_other(&self, at: SocketAddr) -> bool {
         let known = self.known.borrow();
-        known.iter().any(|(other, k)| *other != at && !k.in_use && !k.rests())
+        let free = |k: &Known| !k.in_use && k.rest().is_none();
+        let any_member = known.values().any(Known::is_member);
+        known.iter().any(|(other, k)| *other != at && free(k) && (k.is_member() || !any_member))
     }
 
     /// Says what is other than said last. Once news has come on it, a session is the first if there is none.
--- a/crates/simulation/tests/cells/main.rs
+++ b/crates/simulation/tests/cells/main.rs
@@ -44,7 +44,7 @@
     let first = rng.rand_range(0..SIZE as u64) as usize;
     let some: Vec<usize> = (0..count as usize).map(|i| (first + i) % SIZE).collect();
     let leader = (0..SIZE).find(|i| net.cell(*i).is_some_and(|c| c.leads()));
-    match rng.rand_range(0..10) {
+    match rng.rand_range(0..11) {
         0 => {
             some.iter().for_each(|i| net.kill(*i));
             sleep(lasts).await;
@@ -85,6 +85,14 @@
             sleep(long).await;
             net.heal();
         }
+        10 => {
+            // All lose power at the same moment, those without a disk too, and some of the core their disks.
+            let all = 0..SIZE + DISKLESS;
+            all.clone().for_each(|i| net.kill(i));
+            some.iter().for_each(|i| net.lose_disk(*i, false));
+            sleep(lasts / 4).await;
+            all.for_each(|i| net.start(i));
+        }
         9 => {
             // Halves, whatever may be borne: all others reach both.
             net.disturb();
