--- a/crates/data-plane/src/engine.rs
+++ b/crates/data-plane/src/engine.rs
@@ -409,7 +409,7 @@
             }
             Action::Cancel { request, attempt } => {
                 let held = self.requests.get_mut(&request);
-                if let Some(tried) = held.and_then(|h| h.to_break_off(attempt)) {
+                if let Some(tried) = held.and_then(|h| h.broken_off(attempt)) {
                     tried.state = TryState::Ending;
                     self.later.push_back((request, attempt, Ended::bare(Outcome::Cancelled)));
                 }
--- a/crates/data-plane/src/engine/requests.rs
+++ b/crates/data-plane/src/engine/requests.rs
@@ -61,10 +61,10 @@
         self.last.is_some_and(|last| !last.never_ran())
     }
 
-    /// The attempt to be cancelled, if that is to break it off. One whose task is done has its end on the way, which
+    /// The attempt that a cancel breaks off, if it does. One whose task is done has its end on the way, which
     /// is what counts. One that is still to get its connection ends by itself before anything leaves, and the
     /// connection is kept.
-    pub(super) fn to_break_off(&mut self, attempt: usize) -> Option<&mut Try> {
+    pub(super) fn broken_off(&mut self, attempt: usize) -> Option<&mut Try> {
         let live = self.live.get();
         let tried = self.attempts.get_mut(attempt)?;
         let TryState::Running(task) = &tried.state else { return None };
