--- a/crates/decisions/src/policy/admission.rs
+++ b/crates/decisions/src/policy/admission.rs
@@ -60,8 +60,8 @@
         n == 0.0 || ((room.queued + room.in_flight) as f64) < n.max(1.0)
     }
 
-    /// The part of the bearable wait that a class may use, by how much it is worth for its work beside those that
-    /// ask for as much. Failure: beside routes hardly asked for, the one with all the traffic had the least part.
+    /// The part of the bearable wait that a class may use, by its worth for its work beside those that ask
+    /// for as much. Failure: beside routes hardly asked for, the one with all the traffic had the least part.
     fn part_of(&self, class: usize) -> f64 {
         let f = &self.fleet;
         let value = |c: usize| self.settings.classes[c].worth / f.mean[c].max(1.0);
--- a/crates/decisions/src/policy/attempts.rs
+++ b/crates/decisions/src/policy/attempts.rs
@@ -90,8 +90,8 @@
         self.dispatch(now, out);
     }
 
-    /// The client has its answer, or has left: nobody reads what further attempts bring. Those of a request that
-    /// may be repeated end at their upstreams; what may run once goes on there, since it may be done already.
+    /// The client has its answer, or has left: nobody reads what further attempts bring. Those of a request
+    /// that may be repeated end at their upstreams; what may run once goes on, since it may be done already.
     pub(super) fn conclude(&mut self, id: RequestId, out: &mut Vec<Action>) {
         if let Some(e) = self.requests.get(&id).filter(|_| self.settings.limits.cancel)
             && self.settings.classes[e.class].effect == Effect::Safe
--- a/crates/decisions/src/policy/dispatch.rs
+++ b/crates/decisions/src/policy/dispatch.rs
@@ -94,8 +94,8 @@
         }
     }
 
-    /// Whether so much of the fleet is shut to a class that it is open to it all the same. Failure: looked at for
-    /// every class again and again, a thousand routes took all the time of a small machine.
+    /// Whether so much of the fleet is shut to a class that it is open to it all the same. Failure: looked at
+    /// for every class again and again, a thousand routes took all the time of a small machine.
     fn panics(&self, now: Time, class: usize) -> bool {
         let open = self.order.iter().map(|&i| &self.servers[i]);
         let open = open.filter(|s| self.open_to(Some(class), s));
