--- a/crates/data-plane/src/upstream_pool/attempt.rs
+++ b/crates/data-plane/src/upstream_pool/attempt.rs
@@ -171,6 +171,10 @@
                 error = &error as &dyn std::error::Error,
                 origin = ?error.origin(),
                 may_have_run = error.may_have_run(),
+                request_id = ?self.config.protocol.request_id(forwarded),
+                bytes_sent = progress.bytes_sent,
+                total_bytes = progress.total_bytes,
+                response_started = progress.response_started,
                 "an attempt at an upstream failed"
             );
             error.into()
@@ -200,7 +204,7 @@
             method: &forwarded.method,
             echoed_id: protocol.request_id_header.as_ref().map(|header| EchoedId {
                 header,
-                value: forwarded.headers.get(header),
+                value: protocol.request_id(forwarded),
             }),
         };
         loop {
--- a/crates/data-plane/src/upstream_pool/protocol.rs
+++ b/crates/data-plane/src/upstream_pool/protocol.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Returns the id of a request, if it has one and upstreams echo it.
+    pub(super) fn request_id<'a>(&self, request: &'a ForwardedRequest) -> Option<&'a HeaderValue> {
+        request.headers.get(self.request_id_header.as_ref()?)
+    }
+
     /// Returns whether a response with this outcome may be forwarded to the client.
     pub(super) fn may_forward(&self, outcome: AttemptOutcome, status: StatusCode) -> bool {
         match outcome {
