Treat a request of which a part was sent as one that may have run

Cause: `SendProgress::proves_not_run` concluded from an unsent last byte that no upstream had begun work, `UpstreamPool::exchange` concluded the same from any failed write, and from the end of an exchange before the last byte (`EndedBeforeSent`). PROTOCOL.md, Upstreams, says of a request that was sent: only an answer with `Not-Run` says that it did not run, "nothing else says so". It nowhere says that an upstream waits for the last byte.

Change: only a request of which no byte was accepted by a socket counts as not run. What was sent in part ends as `Reset` or `Timeout`, and its client gets 502 or 504 on mutating routes.

Why the tests passed over it: the upstreams of the model ran a request only once they had all of it, or showed it by an unambiguous response; none broke off work in the middle or stopped reading, and a check demanded that a request which was never sent whole counts as not run. That check contradicts the page. In its place: whoever says that a request that reached an upstream has not run must have a response that says so, in every schedule and order.

Tests changed for the same reason: `deadline_proves_not_run_only_for_incomplete_unanswered_...` expected `ConnectFailed` for a request sent in part, and expects `Timeout` now, beside a new test for one of which nothing was sent; `surplus_response_during_writing_...` expected `proves_not_run`; the variant `EndedBeforeSent` is gone with its row. `unsafe_request_is_not_sent_again_after_a_part_of_it_was_sent` and `deadline_does_not_prove_that_a_partly_sent_request_has_not_run` failed before the fix.

--- a/crates/data-plane/src/upstream_connection.rs
+++ b/crates/data-plane/src/upstream_connection.rs
@@ -14,8 +14,9 @@
 //! response whose end can't be determined is an error.
 //!
 //! **Failures.** The response is lost if the upstream breaks off or sends malformed data; the request may have run
-//! then, unless [`SendProgress`] excludes it. This module has no timeouts: the attempt that owns the connection has a
-//! deadline, and `TCP_USER_TIMEOUT`, which the pool sets, ends a connection on which sent data is not acknowledged.
+//! then, unless no byte of it was sent ([`SendProgress::proves_not_run`]). This module has no timeouts: the attempt that
+//! owns the connection has a deadline, and `TCP_USER_TIMEOUT`, which the pool sets, ends a connection on which sent data
+//! is not acknowledged.
 
 mod error;
 mod matching;
@@ -138,8 +139,7 @@
     /// of the request meanwhile.
     ///
     /// # Errors
-    /// Returns an error if there is no complete response to this request. The request may have run, unless
-    /// [`SendProgress::proves_not_run`] returns true.
+    /// Returns an error if there is no complete response to this request, which may have run.
     pub async fn receive(
         &mut self,
         awaited: &AwaitedResponse<'_>,
--- a/crates/data-plane/src/upstream_connection/request.rs
+++ b/crates/data-plane/src/upstream_connection/request.rs
@@ -9,7 +9,7 @@
     pub bytes_sent: usize,
     /// Total size of head and body; 0 while it is not known yet.
     pub total_bytes: usize,
-    /// Whether data has arrived that is, or may be, the start of a response to this request.
+    /// Whether data has arrived that is, or may be, the start of a response to this request. Only logged.
     pub response_started: bool,
 }
 
@@ -24,9 +24,10 @@
         self.bytes_sent < self.total_bytes.max(1)
     }
 
-    /// Returns whether the request certainly has not run: its last byte was not sent, and no response has begun.
+    /// Returns whether the request certainly has not run: no byte of it was sent. Once a part was sent, only a response
+    /// can say so, since upstreams may begin their work before they have received the whole request.
     pub fn proves_not_run(self) -> bool {
-        self.is_incomplete() && !self.response_started
+        self.is_unsent()
     }
 }
 
--- a/crates/data-plane/src/upstream_connection/tests.rs
+++ b/crates/data-plane/src/upstream_connection/tests.rs
@@ -419,7 +419,8 @@
         );
         assert!(!progress.is_incomplete() && !progress.proves_not_run());
     }
-    // The upstream closes the connection after the surplus response, without having received the whole request.
+    // The upstream closes the connection after the surplus response, without having received the whole request. It may
+    // have begun work on it all the same.
     let (mut connection, mut peer) = memory_connection(128, &["a"]);
     let upstream = async {
         peer.write_all(surplus.as_bytes()).await.expect("written");
@@ -427,7 +428,7 @@
         peer.shutdown().await.expect("closed");
     };
     let (result, ()) = tokio::join!(exchange(&mut connection, &Method::POST, &large), upstream);
-    assert!(result.0.is_none() && result.1.proves_not_run() && !result.1.is_unsent());
+    assert!(result.0.is_none() && result.1.is_incomplete() && !result.1.proves_not_run());
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/data-plane/src/upstream_pool/attempt.rs
+++ b/crates/data-plane/src/upstream_pool/attempt.rs
@@ -83,14 +83,11 @@
     /// The final reply was sent already, or the client has disconnected.
     #[error("the response is no longer awaited")]
     RequestAbandoned,
-    /// The connection failed before all of the request was sent.
-    #[error("failed to send the request")]
+    /// The connection failed before any of the request was sent.
+    #[error("the connection failed before any of the request was sent")]
     Send(#[source] io::Error),
-    /// The upstream ended the exchange without a response before all of the request was sent.
-    #[error("the exchange ended before all of the request was sent")]
-    EndedBeforeSent(#[source] ResponseFault),
-    /// The deadline passed before all of the request was sent.
-    #[error("the deadline passed before all of the request was sent")]
+    /// The deadline passed before any of the request was sent.
+    #[error("the deadline passed before any of the request was sent")]
     DeadlineBeforeSent,
     /// The deadline passed without a complete response.
     #[error("no complete response before the deadline")]
@@ -116,7 +113,6 @@
             | Self::ConnectTimeout
             | Self::UpstreamClosed
             | Self::Send(_)
-            | Self::EndedBeforeSent(_)
             | Self::DeadlineBeforeSent
             | Self::ResponseTimeout
             | Self::IncompleteResponse { .. } => ErrorOrigin::Upstream,
@@ -131,7 +127,6 @@
             | Self::Connect(_)
             | Self::ConnectTimeout
             | Self::Send(_)
-            | Self::EndedBeforeSent(_)
             | Self::DeadlineBeforeSent => AttemptOutcome::ConnectFailed,
             Self::UpstreamClosed | Self::RequestAbandoned => AttemptOutcome::NotIssued,
             Self::ResponseTimeout => AttemptOutcome::Timeout,
@@ -227,30 +222,29 @@
             let connection = &mut pooled.connection;
             let sent_at = Instant::now();
             let idle_time = sent_at - connection.idle_since;
+            let connect_time = connection.connect_time;
             let mut request = OutgoingRequest::new(&head, &forwarded.body, progress);
-            match connection.send(&mut request).await {
-                Ok(()) => {}
+            let received = match connection.send(&mut request).await {
+                Ok(()) => {
+                    connection
+                        .receive(&awaited, &mut request, &self.response_budget)
+                        .await
+                }
                 // A reused connection failed before a byte was sent, so the request has not run: try another one.
                 Err(_) if is_reused && progress.is_unsent() => continue,
-                Err(error) => return Err(AttemptError::Send(error)),
-            }
-            let received = connection
-                .receive(&awaited, &mut request, &self.response_budget)
-                .await;
-            return match received {
-                Ok(response) => Ok(self.on_response(server, target, pooled, response)),
-                Err(incomplete) if progress.proves_not_run() => {
-                    Err(AttemptError::EndedBeforeSent(incomplete.fault))
-                }
-                Err(incomplete) => {
+                Err(error) if progress.proves_not_run() => return Err(AttemptError::Send(error)),
+                Err(_) => Err(ResponseFault::ConnectionEnded.into()),
+            };
+            return received
+                .map(|response| self.on_response(server, target, pooled, response))
+                .map_err(|incomplete| {
                     let reuse_failure = is_reused.then(|| ReuseFailure {
                         idle_time,
                         failed_after: sent_at.elapsed(),
-                        connect_time: connection.connect_time,
+                        connect_time,
                     });
-                    Err(self.on_incomplete_response(incomplete, reuse_failure))
-                }
-            };
+                    self.on_incomplete_response(incomplete, reuse_failure)
+                });
         }
     }
 
--- a/crates/data-plane/src/upstream_pool/tests.rs
+++ b/crates/data-plane/src/upstream_pool/tests.rs
@@ -112,7 +112,6 @@
         (E::UpstreamClosed, not_issued, upstream),
         (E::RequestAbandoned, not_issued, ErrorOrigin::Downstream),
         (E::Send(reset()), not_sent, upstream),
-        (E::EndedBeforeSent(fault), not_sent, upstream),
         (E::DeadlineBeforeSent, not_sent, upstream),
         (E::ResponseTimeout, AttemptOutcome::Timeout, upstream),
         (incomplete, AttemptOutcome::Reset, upstream),
--- a/crates/data-plane/tests/model/attempts.rs
+++ b/crates/data-plane/tests/model/attempts.rs
@@ -31,6 +31,10 @@
 const MAX_CALLS: usize = 3;
 /// Deadline of each call. An upstream that does not respond stays silent for longer.
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(80);
+/// How much of a request an upstream reads before it begins its work, if it does not wait for the whole request.
+const EARLY_START_BYTES: usize = 64 << 10;
+/// A body that is sent with its head.
+const SHORT_BODY_BYTES: usize = 20;
 /// How long the upstreams stay unreachable.
 const UNREACHABLE_DURATION: Duration = Duration::from_millis(3);
 
@@ -41,6 +45,12 @@
     Unreachable,
     /// The connection is reset after a part of the request was sent.
     ResetMidRequest,
+    /// The upstream begins its work after a part of the request, and resets the connection.
+    ResetAfterEarlyStart,
+    /// The same, and before the reset it sends the beginning of its response.
+    TruncatedAfterEarlyStart,
+    /// The upstream begins its work after a part of the request, and neither reads nor sends anything more.
+    NoResponseAfterEarlyStart,
     /// The connection is reset after the whole request was sent, before the upstream ran it.
     ResetBeforeRun,
     /// The connection is reset after the upstream ran the request.
@@ -65,9 +75,12 @@
     ResponseWithoutIdThenRejected,
 }
 
-const PLANNED_OUTCOMES: [PlannedOutcome; 14] = [
+const PLANNED_OUTCOMES: [PlannedOutcome; 17] = [
     PlannedOutcome::Unreachable,
     PlannedOutcome::ResetMidRequest,
+    PlannedOutcome::ResetAfterEarlyStart,
+    PlannedOutcome::TruncatedAfterEarlyStart,
+    PlannedOutcome::NoResponseAfterEarlyStart,
     PlannedOutcome::ResetBeforeRun,
     PlannedOutcome::ResetAfterRun,
     PlannedOutcome::NoResponse,
@@ -83,6 +96,17 @@
 ];
 
 impl PlannedOutcome {
+    /// Whether the upstream leaves a part of the request unread, for which the request must be large.
+    fn leaves_request_unread(self) -> bool {
+        matches!(
+            self,
+            Self::ResetMidRequest
+                | Self::ResetAfterEarlyStart
+                | Self::TruncatedAfterEarlyStart
+                | Self::NoResponseAfterEarlyStart
+        )
+    }
+
     fn behaviour(self) -> Behaviour {
         let served = Behaviour::respond_with(ScriptedResponse::new(200, 10));
         let nothing = Behaviour {
@@ -100,6 +124,15 @@
                 reads_body: false,
                 ..reset
             },
+            PlannedOutcome::ResetAfterEarlyStart => with_early_start(reset),
+            PlannedOutcome::TruncatedAfterEarlyStart => with_early_start(Behaviour {
+                end: End::Reset,
+                ..Behaviour::respond_with(truncated_response())
+            }),
+            PlannedOutcome::NoResponseAfterEarlyStart => with_early_start(Behaviour {
+                end: End::Unread,
+                ..nothing
+            }),
             PlannedOutcome::ResetBeforeRun => reset,
             PlannedOutcome::ResetAfterRun => Behaviour {
                 runs: true,
@@ -126,10 +159,7 @@
             }
             PlannedOutcome::TruncatedResponse => Behaviour {
                 end: End::Close,
-                ..Behaviour::respond_with(ScriptedResponse {
-                    cut: Some(900),
-                    ..ScriptedResponse::new(200, 100)
-                })
+                ..Behaviour::respond_with(truncated_response())
             },
             PlannedOutcome::ResponseWithoutIdThenRejected => {
                 with_late_rejection(ScriptedResponse {
@@ -141,6 +171,23 @@
     }
 }
 
+fn truncated_response() -> ScriptedResponse {
+    ScriptedResponse {
+        cut: Some(900),
+        ..ScriptedResponse::new(200, 100)
+    }
+}
+
+/// The upstream begins its work after a part of the body, and reads nothing more before it does the rest.
+fn with_early_start(behaviour: Behaviour) -> Behaviour {
+    Behaviour {
+        before_body: vec![Step::BeginWork(EARLY_START_BYTES)],
+        reads_body: false,
+        runs: true,
+        ..behaviour
+    }
+}
+
 /// The request is run, and a surplus rejection of it follows the response.
 fn with_late_rejection(response: ScriptedResponse) -> Behaviour {
     let rejection = Step::Surplus {
@@ -347,15 +394,17 @@
         warm_up(&test_bed).await;
     }
     let environment = spawn_local(test_bed.clone().drive_environment());
-    let part = scenario.outcomes.contains(&PlannedOutcome::ResetMidRequest);
-    let (method, body) = if part {
-        (Method::POST, LARGE_BODY_BYTES)
+    let leaves_unread = |outcome: &PlannedOutcome| outcome.leaves_request_unread();
+    let body = if scenario.outcomes.iter().any(leaves_unread) {
+        LARGE_BODY_BYTES
     } else {
-        (Method::POST, 20)
+        SHORT_BODY_BYTES
     };
     let mut replies = Vec::new();
     for call in 0..MAX_CALLS {
-        let reply = test_bed.submit(call % 2, call, "id", &method, body).await;
+        let reply = test_bed
+            .submit(call % 2, call, "id", &Method::POST, body)
+            .await;
         let again = promises_not_run(&reply)
             || (scenario.is_safe && matches!(reply, EngineReply::Failed { .. }));
         replies.push(reply);
@@ -393,6 +442,11 @@
     }
     let runs = |call: usize| test_bed.upstreams.record(call).runs;
     if !test_bed.scenario.is_safe {
+        let is_unproven_promise = |call: usize| {
+            let record = test_bed.upstreams.record(call);
+            let said = record.responses.iter().filter(|r| r.says_not_run).count();
+            promises_not_run(&replies[call]) && said < record.requests
+        };
         let all: usize = (0..replies.len()).map(runs).sum();
         if all > 1 {
             let records: Vec<_> = (0..replies.len())
@@ -407,6 +461,11 @@
                 "call {call} ran, although its caller was told that it had not"
             ));
         }
+        if let Some(call) = (0..replies.len()).find(|call| is_unproven_promise(*call)) {
+            return Err(format!(
+                "call {call} reached an upstream that did not say that it had not run, although its caller was told so"
+            ));
+        }
     }
     for (call, reply) in replies.iter().enumerate() {
         let EngineReply::Served(response) = reply else {
--- a/crates/data-plane/tests/model/connection.rs
+++ b/crates/data-plane/tests/model/connection.rs
@@ -24,10 +24,9 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::Instant;
 
-use crate::schedule::{Call, SLOW_BODY_BYTES, Schedule, id, schedule};
+use crate::schedule::{Call, Schedule, id, schedule};
 use crate::scripted_upstream::{
-    Behaviour, CallRecord, End, Framing, LARGE_BODY_BYTES, ScriptedResponse, ScriptedUpstreams,
-    Step, request_body,
+    Behaviour, CallRecord, End, Framing, ScriptedResponse, ScriptedUpstreams, Step, request_body,
 };
 
 /// Number of schedules unless `MODEL_SCHEDULES` is set.
@@ -115,7 +114,7 @@
 fn is_harmless(behaviour: &Behaviour) -> bool {
     let is_harmless_step = |step: &Step| match step {
         Step::Respond(response) | Step::Surplus { response, .. } => response.is_unambiguous(),
-        Step::Interim(_) | Step::AfterCall => true,
+        Step::Interim(_) | Step::BeginWork(_) | Step::AfterCall => true,
         Step::Garbage(_) => false,
     };
     behaviour.end == End::Keep
@@ -160,17 +159,6 @@
         && is_harmless(&call.behaviour)
 }
 
-/// Whether the upstream runs the request before it has received all of it. The response shows that, so that the call
-/// has to wait for it.
-fn runs_before_body(call: &Call) -> bool {
-    let behaviour = &call.behaviour;
-    let before_body = behaviour
-        .before_body
-        .iter()
-        .any(|step| matches!(step, Step::Respond(_)));
-    call.body >= SLOW_BODY_BYTES && behaviour.runs && (before_body || !behaviour.reads_body)
-}
-
 /// Checks what must hold for a call, whatever its upstream did.
 fn check(call: &Call, ended: Option<&AttemptResult>, record: &CallRecord) -> Result<(), String> {
     let err = |text: &str| Err(text.to_string());
@@ -184,15 +172,11 @@
     if ended.outcome.has_not_run() && record.runs > 0 {
         return Err(format!("{:?} for a request that was run", ended.outcome));
     }
-    let unread = record.body_left_unread && call.body == LARGE_BODY_BYTES;
-    let sent_early_bytes = call
-        .behaviour
-        .before_body
-        .iter()
-        .any(|s| !matches!(s, Step::AfterCall));
-    if unread && !sent_early_bytes && !ended.outcome.has_not_run() {
+    // Only a response says that a request was not run. Nothing else does once a part of the request was sent.
+    let is_said = record.responses.iter().any(|given| given.says_not_run);
+    if ended.outcome.has_not_run() && record.requests > 0 && !is_said {
         return Err(format!(
-            "{:?} for a request that was never sent completely",
+            "{:?} though no response said that the request was not run",
             ended.outcome
         ));
     }
@@ -255,8 +239,11 @@
     let call = &schedule.calls[n];
     let (server, target) = target(upstreams.address(call.upstream), call.upstream, incarnation);
     let forward = forward(n, &id(call.id), &call.method, call.body);
-    let waits = must_be_served(&schedule.calls, n) || runs_before_body(call);
-    let span = if waits { LONG_TIMEOUT } else { SHORT_TIMEOUT };
+    let span = if must_be_served(&schedule.calls, n) {
+        LONG_TIMEOUT
+    } else {
+        SHORT_TIMEOUT
+    };
     let until = Instant::now() + span;
     let attempt = pool.attempt(server, &target, &forward, until, || !call.is_abandoned);
     let ended = tokio::select! {
--- a/crates/data-plane/tests/model/schedule.rs
+++ b/crates/data-plane/tests/model/schedule.rs
@@ -12,7 +12,10 @@
 const REUSED_IDS: usize = 3;
 const ALL_IDS: usize = 10_000;
 /// A body that fills the buffers between balancer and upstream, so that writing it has to wait.
-pub(crate) const SLOW_BODY_BYTES: usize = 3 << 20;
+const SLOW_BODY_BYTES: usize = 3 << 20;
+/// An upstream that begins its work early has read fewer bytes of the body than this.
+const EARLY_START_BYTES: usize = 200_000;
+const MAX_CALLS: usize = 7;
 
 /// Unsolicited bytes that do not form a response to any request.
 const GARBAGE: [&[u8]; 8] = [
@@ -250,13 +253,10 @@
             let is_allowed_first =
                 |step: &Step| !matches!(step, Step::Surplus { back: 0, .. } | Step::AfterCall);
             let mut steps: Vec<Step> = before.into_iter().filter(is_allowed_first).collect();
-            let is_unambiguous_before = steps.iter().all(|step| match step {
-                Step::Surplus { response, .. } => response.is_unambiguous(),
-                _ => true,
-            });
+            // An upstream may begin its work before it has read the whole request, whether that shows or not.
             let runs = own
                 .as_ref()
-                .map_or(ran && reads_body, |o| implies_run((o.status, o.not_run)));
+                .map_or(ran, |o| implies_run((o.status, o.not_run)));
             let cut = own.as_ref().is_some_and(|o| o.cut.is_some());
             let close = own.as_ref().is_some_and(|o| o.framing == Framing::Close);
             let answered = own.is_some();
@@ -274,11 +274,6 @@
                 (Vec::new(), steps)
             };
             let reads_body = reads_body && (before_body.is_empty() || !cut);
-            // If only a part of the request was received, the response is the only sign that it was run. A reset, or an
-            // ambiguous response before it, would hide that.
-            let stays = reads_body || [End::HalfClose, End::Silent].contains(&end);
-            let complete = reads_body && before_body.is_empty();
-            let runs = runs && (complete || (answered && !cut && is_unambiguous_before && stays));
             Behaviour {
                 before_body,
                 reads_body,
@@ -349,6 +344,44 @@
     )
 }
 
+/// What an upstream does with a request of which it has read only a part.
+#[derive(Clone, Copy, Debug)]
+struct PartialRead {
+    /// After how many bytes of the body it begins its work, if it does so before it has read the whole body.
+    begins_work_after: Option<usize>,
+    /// Whether it stops reading where it would otherwise read without responding.
+    stops_reading: bool,
+}
+
+impl PartialRead {
+    fn apply(self, behaviour: &mut Behaviour) {
+        let work = self.begins_work_after.filter(|_| behaviour.runs);
+        behaviour
+            .before_body
+            .splice(0..0, work.map(Step::BeginWork));
+        if self.stops_reading && behaviour.end == End::Silent {
+            behaviour.end = End::Unread;
+        }
+    }
+}
+
+fn partial_read() -> impl Strategy<Value = PartialRead> {
+    let bytes = prop_oneof![1 => Just(0), 2 => 1..9000usize, 2 => 9000..EARLY_START_BYTES];
+    (prop::option::weighted(0.3, bytes), percent(50)).prop_map(
+        |(begins_work_after, stops_reading)| PartialRead {
+            begins_work_after,
+            stops_reading,
+        },
+    )
+}
+
 pub(crate) fn schedule() -> impl Strategy<Value = Schedule> {
-    vec(call(), 1..8).prop_map(|calls| Schedule { calls })
+    // The calls are drawn first, so that a seed yields the same calls whatever is added to them.
+    let partial_reads = vec(partial_read(), MAX_CALLS);
+    (vec(call(), 1..=MAX_CALLS), partial_reads).prop_map(|(mut calls, partial_reads)| {
+        for (call, partial_read) in calls.iter_mut().zip(partial_reads) {
+            partial_read.apply(&mut call.behaviour);
+        }
+        Schedule { calls }
+    })
 }
--- a/crates/data-plane/tests/model/scripted_upstream.rs
+++ b/crates/data-plane/tests/model/scripted_upstream.rs
@@ -119,6 +119,11 @@
         framed && measured && alone && self.echo == Echo::Own && self.cut.is_none()
     }
 
+    /// Whether the response says that the request was not run and never will be.
+    fn says_not_run(&self) -> bool {
+        self.status == 421 || (self.not_run && [503, 429].contains(&self.status))
+    }
+
     pub(crate) fn has_no_body(&self, method: &Method) -> bool {
         method == Method::HEAD || [204, 304].contains(&self.status)
     }
@@ -219,6 +224,8 @@
     /// Sends an interim response with this status.
     Interim(u16),
     Garbage(Vec<u8>),
+    /// Reads this many bytes of the body, or all of a shorter one, and begins work on the request.
+    BeginWork(usize),
     /// Delays the following steps until the call has ended for its caller.
     AfterCall,
 }
@@ -233,6 +240,8 @@
     HalfClose,
     /// Nothing more is sent, and everything that is received is discarded.
     Silent,
+    /// Nothing more is sent or read until the call has ended for its caller.
+    Unread,
 }
 
 /// What an upstream does with one request.
@@ -241,8 +250,8 @@
     /// Steps before the body is read.
     pub before_body: Vec<Step>,
     pub reads_body: bool,
-    /// Whether the request is run: with a response that is sent before the body is read, or once the request is
-    /// complete.
+    /// Whether the request is run: at [`Step::BeginWork`], at its response, or once as much of it was read as the
+    /// upstream reads, whichever comes first.
     pub runs: bool,
     pub steps: Vec<Step>,
     pub end: End,
@@ -324,6 +333,8 @@
     /// Whether all of it was sent and it can be read in one way only.
     pub complete: bool,
     pub sealed: bool,
+    /// Whether it says that the request was not run and never will be.
+    pub says_not_run: bool,
 }
 
 /// What the upstreams recorded about one call.
@@ -447,6 +458,13 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns once the caller of this call has its response or has disconnected.
+    async fn wait_for_call_end(&self, call: usize) {
+        while !self.ended_calls.borrow().contains(&call) {
+            self.changed.notified().await;
+        }
+    }
+
     /// Lets delayed steps be executed, for at most 100 turns of the scheduler.
     pub(crate) async fn flush_delayed(&self) {
         for _ in 0..100 {
@@ -521,49 +539,51 @@
             if silent {
                 (behaviour.before_body, behaviour.steps) = (Vec::new(), Vec::new());
             }
-            let mut out = Output {
+            let mut exchange = Exchange {
                 stream,
+                unread,
                 runs: behaviour.runs,
                 end: behaviour.end,
             };
-            self.execute_steps(&behaviour.before_body, &mut out, &served)
+            self.execute_steps(&behaviour.before_body, &mut exchange, &served)
                 .await;
             if behaviour.reads_body || length == 0 {
-                if !read_body(&mut out.stream, &mut unread, length).await {
+                if !exchange.read_body(length).await {
                     return;
                 }
-                let unchanged = unread[..length] == request_body(length)[..];
-                unread.drain(..length);
+                let unchanged = exchange.unread[..length] == request_body(length)[..];
+                exchange.unread.drain(..length);
                 if !unchanged {
                     self.report_violation(format!("the body of {call} was changed"));
                 }
-                out.record_run(&self, call);
             } else if behaviour.response().is_none()
                 && ![End::Silent, End::HalfClose].contains(&behaviour.end)
             {
                 self.update_record(call, |record| record.body_left_unread = true);
             }
-            self.execute_steps(&behaviour.steps, &mut out, &served)
+            exchange.record_run(&self, call);
+            self.execute_steps(&behaviour.steps, &mut exchange, &served)
                 .await;
-            stream = out.stream;
+            Exchange { stream, unread, .. } = exchange;
             match behaviour.end {
                 End::Keep if behaviour.reads_body || length == 0 => {}
                 End::HalfClose if behaviour.reads_body => {
                     let _ = stream.shutdown().await;
                     silent = true;
                 }
+                End::Unread => return self.wait_for_call_end(call).await,
                 end => return end_connection(stream, end).await,
             }
         }
     }
 
-    async fn execute_steps(&self, steps: &[Step], out: &mut Output, served: &[Request]) {
+    async fn execute_steps(&self, steps: &[Step], exchange: &mut Exchange, served: &[Request]) {
         let Some(own) = served.last() else { return };
         for step in steps {
             match step {
                 Step::Respond(response) => {
-                    out.record_run(self, own.call);
-                    self.respond(response, own, Some(out.end), &mut out.stream)
+                    exchange.record_run(self, own.call);
+                    self.respond(response, own, Some(exchange.end), &mut exchange.stream)
                         .await;
                 }
                 Step::Surplus { back, response } => {
@@ -575,21 +595,25 @@
                     if let Echo::OwnThen(other) | Echo::OwnAfter(other) = &mut response.echo {
                         other.clone_from(&own.id);
                     }
-                    self.respond(&response, &served[to], None, &mut out.stream)
+                    self.respond(&response, &served[to], None, &mut exchange.stream)
                         .await;
                 }
                 Step::Interim(status) => {
                     let text = format!("HTTP/1.1 {status} Word\r\nLink: </x>\r\n\r\n");
-                    let _ = out.stream.write_all(text.as_bytes()).await;
+                    let _ = exchange.stream.write_all(text.as_bytes()).await;
                 }
                 Step::Garbage(bytes) => {
-                    let _ = out.stream.write_all(bytes).await;
+                    let _ = exchange.stream.write_all(bytes).await;
+                }
+                Step::BeginWork(bytes) => {
+                    if !exchange.read_body((*bytes).min(own.length)).await {
+                        return;
+                    }
+                    exchange.record_run(self, own.call);
                 }
                 Step::AfterCall => {
                     self.delayed_steps.set(self.delayed_steps.get() + 1);
-                    while !self.ended_calls.borrow().contains(&own.call) {
-                        self.changed.notified().await;
-                    }
+                    self.wait_for_call_end(own.call).await;
                     self.delayed_steps.set(self.delayed_steps.get() - 1);
                 }
             }
@@ -617,13 +641,13 @@
             let is_terminated = response.framing != Framing::Close || end == End::Close;
             let has_definite_end = !response.framing.is_ambiguous() && is_terminated;
             let complete = response.cut.is_none() && (bodiless || has_definite_end);
-            let (status, sealed) = (response.status, response.sealed);
             let given = GivenResponse {
-                status,
+                status: response.status,
                 serial,
                 body,
                 complete,
-                sealed,
+                sealed: response.sealed,
+                says_not_run: response.says_not_run(),
             };
             self.update_record(to.call, |record| record.responses.push(given));
         }
@@ -648,14 +672,27 @@
     }
 }
 
-/// The connection that a request's response is written to, and whether the request is still to be run.
-struct Output {
+/// One request and its response on a connection.
+struct Exchange {
     stream: TcpStream,
+    /// Bytes that were read and belong to the body of the request, or follow it.
+    unread: Vec<u8>,
+    /// Whether the request is still to be run.
     runs: bool,
     end: End,
 }
 
-impl Output {
+impl Exchange {
+    /// Reads the first `length` bytes of the body. Returns false if the connection ends before.
+    async fn read_body(&mut self, length: usize) -> bool {
+        while self.unread.len() < length {
+            if !read_more(&mut self.stream, &mut self.unread).await {
+                return false;
+            }
+        }
+        true
+    }
+
     fn record_run(&mut self, of: &ScriptedUpstreams, call: usize) {
         if std::mem::take(&mut self.runs) {
             of.update_record(call, |record| record.runs += 1);
@@ -670,7 +707,7 @@
 /// Ends a connection. Dropping it resets it.
 async fn end_connection(mut stream: TcpStream, end: End) {
     match end {
-        End::Keep | End::Reset => {}
+        End::Keep | End::Reset | End::Unread => {}
         End::Close => {
             let _ = stream.shutdown().await;
             let _ = SockRef::from(&stream).set_linger(None);
@@ -698,12 +735,3 @@
         }
     }
 }
-
-async fn read_body(stream: &mut TcpStream, unread: &mut Vec<u8>, length: usize) -> bool {
-    while unread.len() < length {
-        if !read_more(stream, unread).await {
-            return false;
-        }
-    }
-    true
-}
--- a/crates/data-plane/tests/upstream_responses.rs
+++ b/crates/data-plane/tests/upstream_responses.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
 use std::time::Duration;
@@ -27,6 +27,8 @@
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 /// More than the socket buffers between two processes hold.
 const LARGE_BODY_BYTES: usize = 64 << 20;
+/// How much of a request an upstream reads before it begins its work, if it does not wait for the whole request.
+const EARLY_START_BYTES: usize = 64 << 10;
 
 /// A connection that an upstream has accepted, with its number in order of arrival.
 struct Accepted {
@@ -335,20 +337,23 @@
     (address, notified)
 }
 
+/// Regression test: at the deadline, a request of which a part had been sent counted as not run unless a response had
+/// begun, although its upstream may begin work before it has the whole request.
 #[tokio::test(start_paused = true)]
-async fn deadline_proves_not_run_only_for_incomplete_unanswered_requests() {
+async fn deadline_does_not_prove_that_a_partly_sent_request_has_not_run() {
     let own = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 9\r\n\r\nx";
     let interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    let expected = AttemptOutcome::Timeout;
     let cases = [
-        (0, "", AttemptOutcome::Timeout),
-        (0, own, AttemptOutcome::Timeout),
-        (LARGE_BODY_BYTES, "", AttemptOutcome::ConnectFailed),
-        (LARGE_BODY_BYTES, own, AttemptOutcome::Timeout),
-        (LARGE_BODY_BYTES, &own[..9], AttemptOutcome::Timeout),
-        (LARGE_BODY_BYTES, interim, AttemptOutcome::ConnectFailed),
+        (0, ""),
+        (0, own),
+        (LARGE_BODY_BYTES, ""),
+        (LARGE_BODY_BYTES, own),
+        (LARGE_BODY_BYTES, &own[..9]),
+        (LARGE_BODY_BYTES, interim),
     ];
     let run = async {
-        for (length, text, expected) in cases {
+        for (length, text) in cases {
             let (address, notified) = silent_upstream(1, text);
             // Paused time does not advance while a blocking task runs, here until the upstream has written its text.
             let upstream_wrote = tokio::task::spawn_blocking(move || notified.recv());
@@ -372,6 +377,82 @@
     LocalSet::new().run_until(run).await;
 }
 
+#[tokio::test(start_paused = true)]
+async fn deadline_before_a_byte_is_sent_proves_that_the_request_has_not_run() {
+    // Nobody accepts connections, and the queue of those that wait to be accepted is full.
+    let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+    let listener = listener.expect("a socket");
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    listener.bind(&any_port.into()).expect("a port");
+    listener.listen(0).expect("a listener");
+    let address = listener.local_addr().expect("an address").as_socket();
+    let address = address.expect("an IP address");
+    let _queued = TcpStream::connect(address).expect("queued");
+    let run = async {
+        let (pool, target) = (UpstreamPool::new(pool_config(8)), target(address));
+        let forward = forward("a", Method::POST, 0);
+        let deadline = Instant::now() + Duration::from_secs(1);
+        let result = pool
+            .attempt(ServerId(1), &target, &forward, deadline, || true)
+            .await;
+        assert_eq!(result.outcome, AttemptOutcome::ConnectFailed);
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+/// How an upstream ends its connection after it has begun work on a request of which it has read a part.
+#[derive(Clone, Copy, Debug)]
+enum EarlyEnd {
+    /// The connection is closed with a part of the request unread, which resets it.
+    Reset,
+    /// The sending direction is closed, and nothing more is read.
+    HalfClose,
+}
+
+/// Starts an upstream that reads a part of each request, begins work on it, writes `text` and ends the connection.
+/// Each request on which work is begun is reported.
+fn early_starting_upstream(text: &'static str, end: EarlyEnd, begun: Sender<()>) -> SocketAddr {
+    start_upstream(move |mut accepted| {
+        let mut part = vec![0; EARLY_START_BYTES];
+        if accepted.stream.read_exact(&mut part).is_err() {
+            return;
+        }
+        begun.send(()).expect("the test is waiting");
+        accepted.write(text);
+        if matches!(end, EarlyEnd::HalfClose) {
+            let _ = accepted.stream.shutdown(Shutdown::Write);
+            thread::sleep(LONG_TIMEOUT);
+        }
+    })
+}
+
+/// Regression test: a request that may run only once ran on a second upstream, or was rejected after it had run, when
+/// the first upstream began work before it had the whole request and then broke off its response or sent none. A
+/// request counted as not run as long as its last byte was not sent.
+#[tokio::test]
+async fn unsafe_request_is_not_sent_again_after_a_part_of_it_was_sent() {
+    let truncated =
+        "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nUpstream-Seal: s\r\nContent-Length: 9\r\n\r\nx";
+    for text in ["", truncated] {
+        for end in [EarlyEnd::Reset, EarlyEnd::HalfClose] {
+            let (begun, work) = channel();
+            let addresses = [(); 2].map(|()| early_starting_upstream(text, end, begun.clone()));
+            let run = async {
+                let (handle, running) = start_engine(d::Effect::Unsafe, addresses);
+                let forward = forward("a", Method::POST, LARGE_BODY_BYTES);
+                let reply = handle.submit(0, incoming_request(), forward).await;
+                running.abort();
+                assert!(
+                    matches!(reply, EngineReply::Failed { .. }),
+                    "the client is told that its request has not run: {text:?}, {end:?}"
+                );
+            };
+            LocalSet::new().run_until(run).await;
+            assert_eq!(work.try_iter().count(), 1, "{text:?}, {end:?}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn connection_is_used_only_for_its_upstream() {
     let sealed = |number: usize, head: &str| {
@@ -490,8 +571,8 @@
     LocalSet::new().run_until(run).await;
 }
 
-/// Starts an engine with two upstreams that respond with these statuses.
-fn start_engine(statuses: [&'static str; 2]) -> (EngineHandle, JoinHandle<()>) {
+/// Starts an engine with two upstreams at these addresses, for requests with this effect.
+fn start_engine(effect: d::Effect, addresses: [SocketAddr; 2]) -> (EngineHandle, JoinHandle<()>) {
     let (engine_config, pool) = (
         EngineConfig {
             seed: 1,
@@ -505,15 +586,14 @@
     let (mut engine, handle) = Engine::new(engine_config, pool);
     let ms = |ms: i64| Span(ms * 1000);
     let mut class = d::RequestClass::safe(ms(5_000), ms(60_000));
+    class.effect = effect;
     class.max_attempts = Some(2);
     let mut settings = d::Settings::basic(vec![class]);
     settings.limits.max_attempts = 2;
     engine.apply_settings(0, settings).expect("valid settings");
-    let list = (1..).zip(statuses).map(|(n, status)| ListedUpstream {
+    let list = (1..).zip(addresses).map(|(n, address)| ListedUpstream {
         id: format!("i-{n}"),
-        address: Some(responding_upstream(move |_, head| {
-            response_text(head, status, &format!("Upstream-Seal: s-{n}\r\n"), "")
-        })),
+        address: Some(address),
         zone: 0,
         kind: 0,
         cell: 0,
@@ -530,24 +610,33 @@
     (handle, tokio::task::spawn_local(engine.run()))
 }
 
+/// Returns the properties of a request whose client does not give up.
+fn incoming_request() -> IncomingRequest {
+    IncomingRequest {
+        class: 0,
+        tenant: 0,
+        key: None,
+        shard: None,
+        deadline: Instant::now() + LONG_TIMEOUT,
+        estimated_work: None,
+        is_client_retry: false,
+    }
+}
+
 /// Returns the status and seal of each response that clients get through an engine with two upstreams that respond
 /// with these statuses.
 async fn forwarded_replies(statuses: [&'static str; 2]) -> Vec<(u16, Option<String>)> {
-    let (handle, running) = start_engine(statuses);
+    let mut seal_number = 0;
+    let addresses = statuses.map(|status| {
+        seal_number += 1;
+        let seal = format!("Upstream-Seal: s-{seal_number}\r\n");
+        responding_upstream(move |_, head| response_text(head, status, &seal, ""))
+    });
+    let (handle, running) = start_engine(d::Effect::Safe, addresses);
     let mut seen = Vec::new();
     for n in 0..16 {
-        let deadline = Instant::now() + LONG_TIMEOUT;
-        let request = IncomingRequest {
-            class: 0,
-            tenant: 0,
-            key: None,
-            shard: None,
-            deadline,
-            estimated_work: None,
-            is_client_retry: false,
-        };
         let forward = forward(&format!("r-{n}"), Method::GET, 0);
-        if let EngineReply::Served(response) = handle.submit(0, request, forward).await {
+        if let EngineReply::Served(response) = handle.submit(0, incoming_request(), forward).await {
             let forwarded = forward_response(response, &[]);
             let seal = forwarded.headers().get("upstream-seal");
             let seal = seal.map(|seal| seal.to_str().expect("text").to_string());
