Read the response that arrived before writing a request failed

An upstream may answer before it has read a long body.

Cause: `UpstreamConnection::send` returned the error of a write at once; only reading, later in the exchange, knew that a response may still come.

Change: `send` fails only if no byte was sent, and its error type says so (`NothingSent`). After a part was sent, the exchange goes on to read. What `UpstreamPool` concludes from a failed write thereby has its proof in a type, and no longer in a check beside it.

--- a/crates/data-plane/src/upstream_connection.rs
+++ b/crates/data-plane/src/upstream_connection.rs
@@ -38,7 +38,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-pub use self::error::{IncompleteResponse, ResponseFault};
+pub use self::error::{IncompleteResponse, NothingSent, ResponseFault};
 pub use self::matching::{AwaitedResponse, EchoedId};
 use self::matching::{CarriedIds, ResponseOwner, response_owner};
 pub use self::request::{OutgoingRequest, SendProgress};
@@ -117,15 +117,22 @@
     }
 
     /// Writes a request. Returns early if data arrives before all of it is written; [`Self::receive`] then continues
-    /// writing.
+    /// writing. Also returns early if writing fails after a part was sent: the response may have arrived before.
     ///
     /// # Errors
-    /// Returns an error if writing fails; [`OutgoingRequest::progress`] has the number of bytes sent until then.
-    pub async fn send(&mut self, request: &mut OutgoingRequest<'_>) -> io::Result<()> {
+    /// Returns an error if writing fails before any of the request was sent.
+    pub async fn send(&mut self, request: &mut OutgoingRequest<'_>) -> Result<(), NothingSent> {
         poll_fn(|cx| {
             while request.progress.is_incomplete() {
                 match self.poll_write(cx, request) {
-                    Poll::Ready(written) => written?,
+                    Poll::Ready(Ok(())) => {}
+                    Poll::Ready(Err(error)) if request.progress.is_unsent() => {
+                        return Poll::Ready(Err(NothingSent(error)));
+                    }
+                    Poll::Ready(Err(_)) => {
+                        request.writing_stopped = true;
+                        return Poll::Ready(Ok(()));
+                    }
                     Poll::Pending if request.progress.is_unsent() => return Poll::Pending,
                     Poll::Pending => return self.poll_read(cx).map(|_| Ok(())),
                 }
--- a/crates/data-plane/src/upstream_connection/error.rs
+++ b/crates/data-plane/src/upstream_connection/error.rs
@@ -1,9 +1,16 @@
-//! Errors of reading a response.
+//! Errors of an exchange: of writing a request and of reading its response.
+
+use std::io;
 
 use hyper::header::HeaderMap;
 
 use crate::framing::MalformedResponse;
 
+/// Writing failed before any of the request was sent, so that it has not run.
+#[derive(Debug, thiserror::Error)]
+#[error("the connection failed before any of the request was sent")]
+pub struct NothingSent(#[source] pub io::Error);
+
 /// What is wrong with a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ResponseFault {
--- a/crates/data-plane/src/upstream_connection/tests.rs
+++ b/crates/data-plane/src/upstream_connection/tests.rs
@@ -479,6 +479,33 @@
     }
 }
 
+/// Regression test: an upstream responded before it had read the whole request and closed the connection, so that the
+/// next write failed; the response was lost, although it had arrived.
+#[tokio::test(start_paused = true)]
+async fn response_that_arrived_before_writing_failed_is_received() {
+    let (own, surplus) = (response_with_id("b", "own"), response_with_id("a", "other"));
+    let large = vec![b'x'; 10_000];
+    let cases = [
+        (&[][..], own.clone(), Some("own")),
+        (&["a"][..], format!("{surplus}{own}"), Some("own")),
+        (&[][..], own[..own.len() - 1].to_string(), None),
+        (&["a"][..], surplus, None),
+        (&[][..], String::new(), None),
+    ];
+    for (carried, text, expected) in cases {
+        let (mut connection, mut peer) = memory_connection(512, carried);
+        let upstream = async {
+            peer.read_exact(&mut [0; 100]).await.expect("a part");
+            peer.write_all(text.as_bytes()).await.expect("written");
+            drop(peer);
+        };
+        let (result, ()) = tokio::join!(exchange(&mut connection, &Method::POST, &large), upstream);
+        let (body, progress, reusable) = result;
+        assert_eq!((body.as_deref(), reusable), (expected, false), "{text:?}");
+        assert!(progress.is_incomplete() && !progress.proves_not_run());
+    }
+}
+
 /// Receives this text as the response to a request; the peer then closes the connection. Returns the body of the
 /// response and whether the connection is reusable.
 async fn exchange_with(carried: &[&str], method: &Method, text: &str) -> (Option<String>, bool) {
--- a/crates/data-plane/src/upstream_pool/attempt.rs
+++ b/crates/data-plane/src/upstream_pool/attempt.rs
@@ -11,7 +11,8 @@
 use super::stale::ReuseFailure;
 use super::{ForwardedRequest, PooledConnection, Target, UpstreamPool};
 use crate::upstream_connection::{
-    AwaitedResponse, EchoedId, IncompleteResponse, OutgoingRequest, ResponseFault, SendProgress,
+    AwaitedResponse, EchoedId, IncompleteResponse, NothingSent, OutgoingRequest, ResponseFault,
+    SendProgress,
 };
 
 /// The result of an attempt.
@@ -84,8 +85,8 @@
     #[error("the response is no longer awaited")]
     RequestAbandoned,
     /// The connection failed before any of the request was sent.
-    #[error("the connection failed before any of the request was sent")]
-    Send(#[source] io::Error),
+    #[error(transparent)]
+    Send(#[from] NothingSent),
     /// The deadline passed before any of the request was sent.
     #[error("the deadline passed before any of the request was sent")]
     DeadlineBeforeSent,
@@ -224,17 +225,15 @@
             let idle_time = sent_at - connection.idle_since;
             let connect_time = connection.connect_time;
             let mut request = OutgoingRequest::new(&head, &forwarded.body, progress);
-            let received = match connection.send(&mut request).await {
-                Ok(()) => {
-                    connection
-                        .receive(&awaited, &mut request, &self.response_budget)
-                        .await
-                }
-                // A reused connection failed before a byte was sent, so the request has not run: try another one.
-                Err(_) if is_reused && progress.is_unsent() => continue,
-                Err(error) if progress.proves_not_run() => return Err(AttemptError::Send(error)),
-                Err(_) => Err(ResponseFault::ConnectionEnded.into()),
-            };
+            match connection.send(&mut request).await {
+                Ok(()) => {}
+                // The upstream has dropped the connection while it was idle: try another one.
+                Err(_) if is_reused => continue,
+                Err(error) => return Err(error.into()),
+            }
+            let received = connection
+                .receive(&awaited, &mut request, &self.response_budget)
+                .await;
             return received
                 .map(|response| self.on_response(server, target, pooled, response))
                 .map_err(|incomplete| {
--- a/crates/data-plane/src/upstream_pool/tests.rs
+++ b/crates/data-plane/src/upstream_pool/tests.rs
@@ -7,7 +7,7 @@
 use load_balancing::settings::LoadReportField;
 
 use super::*;
-use crate::upstream_connection::ResponseFault;
+use crate::upstream_connection::{NothingSent, ResponseFault};
 
 #[test]
 fn named_load_report_ignores_invalid_values() {
@@ -111,7 +111,7 @@
         (E::ConnectTimeout, not_sent, upstream),
         (E::UpstreamClosed, not_issued, upstream),
         (E::RequestAbandoned, not_issued, ErrorOrigin::Downstream),
-        (E::Send(reset()), not_sent, upstream),
+        (E::Send(NothingSent(reset())), not_sent, upstream),
         (E::DeadlineBeforeSent, not_sent, upstream),
         (E::ResponseTimeout, AttemptOutcome::Timeout, upstream),
         (incomplete, AttemptOutcome::Reset, upstream),
--- a/crates/data-plane/tests/upstream_responses.rs
+++ b/crates/data-plane/tests/upstream_responses.rs
@@ -453,6 +453,35 @@
     }
 }
 
+/// The response to a request that is still being written is received, although the connection is reset right after it.
+#[tokio::test]
+async fn early_response_followed_by_a_reset_counts() {
+    let cases = [
+        (
+            "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nUpstream-Seal: s\r\nContent-Length: 3\r\n\r\nown",
+            AttemptOutcome::Ok,
+        ),
+        (
+            "HTTP/1.1 503 Full\r\nAttempt-Id: a\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+            AttemptOutcome::Rejected,
+        ),
+    ];
+    let run = async {
+        for (text, expected) in cases {
+            let (begun, _work) = channel();
+            let target = target(early_starting_upstream(text, EarlyEnd::Reset, begun));
+            let forward = forward("a", Method::POST, LARGE_BODY_BYTES);
+            let pool = UpstreamPool::new(pool_config(8));
+            let deadline = Instant::now() + LONG_TIMEOUT;
+            let result = pool
+                .attempt(ServerId(1), &target, &forward, deadline, || true)
+                .await;
+            assert_eq!(result.outcome, expected);
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 #[tokio::test]
 async fn connection_is_used_only_for_its_upstream() {
     let sealed = |number: usize, head: &str| {
