Let any attempt that may have run keep the shutdown from rejecting a request

A balancer that shuts down rejects its queued requests, which tells their clients that they have not run. It looked at the last attempt alone. A keyed request whose first attempt got a 500 and whose second one was turned away with `Not-Run` got 503 although it may have run. Requests that may run only once are not sent again after the first, so only keyed requests (the standalone proxy) whose repeats few upstreams recognize were told something untrue.

Cause: `PendingRequest::may_have_run` compared `last_outcome`.

Change: the request remembers whether any attempt may have run. A repeatable request whose earlier attempt may have run gets 502 in place of 503 there.

`shutdown_does_not_reject_a_queued_request_of_which_any_attempt_may_have_run` failed before (`Rejected`).

--- a/crates/data-plane/src/engine/attempts.rs
+++ b/crates/data-plane/src/engine/attempts.rs
@@ -100,7 +100,7 @@
         let Some((server, latency)) = request.end_attempt(attempt) else {
             return;
         };
-        request.last_outcome = Some(result.outcome);
+        request.record_outcome(result.outcome);
         if let Some(disconnected_at) = request.disconnected_at {
             self.abandoned
                 .record(result.outcome, disconnected_at.elapsed());
--- a/crates/data-plane/src/engine/pending_request.rs
+++ b/crates/data-plane/src/engine/pending_request.rs
@@ -31,6 +31,8 @@
     pub(super) attempts: Vec<Attempt>,
     /// Outcome of the attempt that ended most recently.
     pub(super) last_outcome: Option<AttemptOutcome>,
+    /// Whether any attempt has ended without proof that the request has not run.
+    pub(super) may_have_run: bool,
     /// An upstream's own error response, which is the reply if no attempt succeeds.
     pub(super) upstream_error: Option<Response<Bytes>>,
 }
@@ -86,6 +88,7 @@
             deadline,
             attempts: Vec::new(),
             last_outcome: None,
+            may_have_run: false,
             upstream_error: None,
         }
     }
@@ -120,10 +123,10 @@
             .count()
     }
 
-    /// Returns whether an upstream may have run the request. Considers only the last outcome, since a request that
-    /// may run only once is not retried after an attempt that may have run.
-    pub(super) fn may_have_run(&self) -> bool {
-        self.last_outcome.is_some_and(|last| !last.has_not_run())
+    /// Records how an attempt has ended.
+    pub(super) fn record_outcome(&mut self, outcome: AttemptOutcome) {
+        self.last_outcome = Some(outcome);
+        self.may_have_run |= !outcome.has_not_run();
     }
 
     /// Marks an attempt as reported, and returns its upstream and its duration; `None` if it is unknown or was reported
--- a/crates/data-plane/src/engine/requests.rs
+++ b/crates/data-plane/src/engine/requests.rs
@@ -80,7 +80,7 @@
         let with_reply = |(id, request): (&RequestId, &PendingRequest)| QueuedRequest {
             id: *id,
             service: request.service,
-            reply: if request.may_have_run() {
+            reply: if request.may_have_run {
                 EngineReply::Failed { timed_out: false }
             } else {
                 EngineReply::Rejected {
--- a/crates/data-plane/src/engine/tests.rs
+++ b/crates/data-plane/src/engine/tests.rs
@@ -5,7 +5,7 @@
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
 use load_balancing::interface::{
-    AttemptOutcome, Effect, MembershipKind, RequestClass, ServerId, Span, Status,
+    AttemptOutcome, DedupGroup, Effect, MembershipKind, RequestClass, ServerId, Span, Status,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -491,6 +491,44 @@
     with_harness(Effect::Unsafe, test).await;
 }
 
+/// Regression test: the shutdown rejected a queued request by the outcome of its last attempt alone, although an
+/// earlier attempt may have run.
+#[tokio::test]
+async fn shutdown_does_not_reject_a_queued_request_of_which_any_attempt_may_have_run() {
+    let test = async |mut harness: Harness| {
+        // Only the upstreams of a cell recognize a repeat, so that a client must not repeat the request itself.
+        let mut settings = settings(Effect::Keyed);
+        settings.classes[0].dedup_group = DedupGroup::Cell;
+        settings.classes[0].dedup_window = Span(LONG_TIMEOUT.as_micros() as i64);
+        let applied = harness.engine.apply_settings(0, settings);
+        applied.expect("valid settings");
+        let mut request = harness.submit();
+        let mut first = harness.accept_request(0, &request).await;
+        harness.list_upstreams(2);
+        respond(&mut first, &request, "500 Oops", "its own").await;
+        harness.handle_next_event().await;
+        let mut second = harness.accept_request(1, &request).await;
+        let rejection = format!(
+            "HTTP/1.1 503 Full\r\nAttempt-Id: {}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+            request.id.0
+        );
+        let written = second.write_all(rejection.as_bytes()).await;
+        written.expect("written");
+        harness.handle_next_event().await;
+        assert!(awaits_reply(&mut request), "it waits for its third attempt");
+        assert_eq!(
+            harness.engine.requests[&request.id].unreported_attempts(),
+            0
+        );
+        harness.engine.handle_event(EngineEvent::ShutdownStarted);
+        assert!(matches!(
+            request.reply.try_recv(),
+            Ok(EngineReply::Failed { timed_out: false })
+        ));
+    };
+    with_harness(Effect::Keyed, test).await;
+}
+
 /// Uses paused time, so that the result does not depend on the speed of the machine.
 #[tokio::test]
 async fn silent_upstream_times_out_right_before_the_deadline() {
