--- a/crates/data-plane/src/upstream_pool/attempt.rs
+++ b/crates/data-plane/src/upstream_pool/attempt.rs
@@ -11,8 +11,7 @@
 use super::stale::ReuseFailure;
 use super::{ForwardedRequest, PooledConnection, Target, UpstreamPool};
 use crate::upstream_connection::{
-    AwaitedResponse, EchoedId, IncompleteResponse, NothingSent, OutgoingRequest, ResponseFault,
-    SendProgress,
+    IncompleteResponse, NothingSent, OutgoingRequest, ResponseFault, SendProgress,
 };
 
 /// The result of an attempt.
@@ -157,26 +156,35 @@
         let exchange = self.exchange(server, target, forwarded, deadline, may_send, &mut progress);
         let result = match timeout_at(deadline, exchange).await {
             Ok(result) => result,
-            // The request certainly has not run.
             Err(_) if progress.proves_not_run() => Err(AttemptError::DeadlineBeforeSent),
             Err(_) => Err(AttemptError::ResponseTimeout),
         };
         result.unwrap_or_else(|error| {
-            tracing::debug!(
-                upstream = %target.address.get(),
-                error = &error as &dyn std::error::Error,
-                origin = ?error.origin(),
-                may_have_run = error.may_have_run(),
-                request_id = ?self.config.protocol.request_id(forwarded),
-                bytes_sent = progress.bytes_sent,
-                total_bytes = progress.total_bytes,
-                response_started = progress.response_started,
-                "an attempt at an upstream failed"
-            );
+            self.log_failure(target, forwarded, progress, &error);
             error.into()
         })
     }
 
+    fn log_failure(
+        &self,
+        target: &Target,
+        forwarded: &ForwardedRequest,
+        progress: SendProgress,
+        error: &AttemptError,
+    ) {
+        tracing::debug!(
+            upstream = %target.address.get(),
+            error = error as &dyn std::error::Error,
+            origin = ?error.origin(),
+            may_have_run = error.may_have_run(),
+            request_id = ?self.config.protocol.request_id(forwarded),
+            bytes_sent = progress.bytes_sent,
+            total_bytes = progress.total_bytes,
+            response_started = progress.response_started,
+            "an attempt at an upstream failed"
+        );
+    }
+
     /// Sends the request on an idle or new connection and reads the response to it.
     async fn exchange(
         &self,
@@ -196,13 +204,7 @@
             );
             return Err(AttemptError::UnnamedUpstream);
         }
-        let awaited = AwaitedResponse {
-            method: &forwarded.method,
-            echoed_id: protocol.request_id_header.as_ref().map(|header| EchoedId {
-                header,
-                value: protocol.request_id(forwarded),
-            }),
-        };
+        let awaited = protocol.awaited_response(forwarded);
         loop {
             let address = target.address.get();
             let idle = self.take_idle(server, address, &awaited);
--- a/crates/data-plane/src/upstream_pool/protocol.rs
+++ b/crates/data-plane/src/upstream_pool/protocol.rs
@@ -11,6 +11,7 @@
 
 use super::{LoadReportFormat, Target};
 use crate::framing::names_in_connection;
+use crate::upstream_connection::{AwaitedResponse, EchoedId};
 
 /// How long before the timeout that the upstream announces in `Keep-Alive` idle connections are closed, but not before
 /// half of it. The announced timeout is in whole seconds.
@@ -84,6 +85,20 @@
         request.headers.get(self.request_id_header.as_ref()?)
     }
 
+    /// Returns by what the response to a request is recognized.
+    pub(super) fn awaited_response<'a>(
+        &'a self,
+        request: &'a ForwardedRequest,
+    ) -> AwaitedResponse<'a> {
+        AwaitedResponse {
+            method: &request.method,
+            echoed_id: self.request_id_header.as_ref().map(|header| EchoedId {
+                header,
+                value: request.headers.get(header),
+            }),
+        }
+    }
+
     /// Returns whether a response with this outcome may be forwarded to the client.
     pub(super) fn may_forward(&self, outcome: AttemptOutcome, status: StatusCode) -> bool {
         match outcome {
