Let the upstreams of the test with whole processes begin work on a part of a request

Three new plans read 64 KiB of a body of 6 MiB and then break off the response, send none, or reject the request, and close the connection.

--- a/crates/shorefront/tests/answers/client.rs
+++ b/crates/shorefront/tests/answers/client.rs
@@ -9,8 +9,10 @@
 use crate::common::http_client::connect;
 use crate::upstream::Runs;
 
-/// Ways in which an upstream may misbehave; repeated ones are chosen more often.
-const FAULTY_PLANS: [&str; 14] = [
+/// Ways in which an upstream may misbehave; repeated ones are chosen more often. With an `early` one it does not wait
+/// for the whole request, which is long then: mutating requests ran on several upstreams after such a response was
+/// broken off.
+const FAULTY_PLANS: [&str; 17] = [
     "surplus",
     "surplus",
     "surplus-error",
@@ -23,9 +25,14 @@
     "without-id",
     "truncated",
     "no-response",
+    "early-truncated",
+    "early-no-response",
+    "early-rejected",
     "error",
     "unproven-rejection",
 ];
+/// More than the socket buffers between two processes hold.
+const LONG_BODY_BYTES: usize = 6 << 20;
 /// Statuses that imply that a request has not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -155,7 +162,13 @@
         let is_mutating = self.random.below(2) == 0;
         let (plan, size) = (self.random.plan(), self.random.body_bytes());
         let route = if is_mutating { "m" } else { "i" };
-        let body = "x".repeat(self.random.below(3000));
+        let length = self.random.below(3000);
+        let length = if plan.starts_with("early-") {
+            LONG_BODY_BYTES
+        } else {
+            length
+        };
+        let body = "x".repeat(length);
         let request = format!(
             "POST /{route}/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: {id}\r\nDeadline-Ms: 15000\r\n\
              Plan: {plan}\r\nSize: {size}\r\nContent-Length: {}\r\n\r\n{body}",
--- a/crates/shorefront/tests/answers/upstream.rs
+++ b/crates/shorefront/tests/answers/upstream.rs
@@ -8,6 +8,9 @@
 use std::thread;
 use std::time::Duration;
 
+/// How much of a body an upstream reads if it does not wait for the whole body.
+const EARLY_START_BYTES: usize = 64 << 10;
+
 /// The response to one run of a request.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Run {
@@ -51,6 +54,19 @@
     body_bytes: usize,
 }
 
+impl Request {
+    /// Whether the upstream does not wait for the whole body.
+    fn starts_early(&self) -> bool {
+        self.plan.starts_with("early-")
+    }
+
+    /// Whether the response is broken off.
+    fn is_truncated(&self) -> bool {
+        self.plan.ends_with("truncated")
+    }
+}
+
+/// Reads a request, or as much of it as the upstream reads before it responds.
 fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
     let mut head = String::new();
     while !head.ends_with("\r\n\r\n") {
@@ -70,13 +86,19 @@
         head.lines().find_map(value)
     };
     let number = |name: &str| find(name).and_then(|v| v.parse().ok()).unwrap_or(0);
-    let mut body = vec![0; number("content-length")];
-    reader.read_exact(&mut body).ok()?;
-    Some(Request {
+    let request = Request {
         id: find("attempt-id")?,
         plan: find("plan").unwrap_or_default(),
         body_bytes: number("size"),
-    })
+    };
+    let length = number("content-length");
+    let read = if request.starts_early() {
+        length.min(EARLY_START_BYTES)
+    } else {
+        length
+    };
+    reader.read_exact(&mut vec![0; read]).ok()?;
+    Some(request)
 }
 
 /// Returns the body of the response to a run, which differs from that of any other run.
@@ -110,10 +132,13 @@
     loop {
         let request = read_request(&mut reader)?;
         let id = request.id.as_str();
-        if request.plan == "rejected" {
+        if ["rejected", "early-rejected"].contains(&request.plan.as_str()) {
             connection.send(&format!(
                 "HTTP/1.1 503 No\r\nAttempt-Id: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
             ))?;
+            if request.starts_early() {
+                return connection.shut_down();
+            }
             continue;
         }
         let status = match request.plan.as_str() {
@@ -123,7 +148,7 @@
         };
         let number = runs.of(id).len();
         let body = response_body(id, number, request.body_bytes);
-        let is_complete = !["truncated", "no-response"].contains(&request.plan.as_str());
+        let is_complete = !request.is_truncated() && !request.plan.ends_with("no-response");
         let run = Run {
             status,
             body,
@@ -160,8 +185,8 @@
         let surplus =
             |status, echo| response_text(status, echo, &format!("surplus of {id}"), false);
         match request.plan.as_str() {
-            "truncated" | "no-response" => {
-                if request.plan == "truncated" {
+            "truncated" | "no-response" | "early-truncated" | "early-no-response" => {
+                if request.is_truncated() {
                     self.send(&own[..own.len() - body.len() / 2 - 1])?;
                 }
                 // Nothing may follow: a late response to an earlier request would be read as the rest of this one.
