--- a/crates/data-plane/tests/model/connection.rs
+++ b/crates/data-plane/tests/model/connection.rs
@@ -26,7 +26,8 @@
 
 use crate::schedule::{Call, Schedule, id, schedule};
 use crate::scripted_upstream::{
-    Behaviour, CallRecord, End, Framing, ScriptedResponse, ScriptedUpstreams, Step, request_body,
+    Behaviour, CallRecord, End, Framing, LARGE_BODY_BYTES, ScriptedResponse, ScriptedUpstreams,
+    Step, request_body,
 };
 
 /// Number of schedules unless `MODEL_SCHEDULES` is set.
@@ -55,6 +56,8 @@
     reused: u64,
     forwarded: u64,
     body_left_unread: u64,
+    /// Calls that ended without a response while their request was being sent.
+    ended_while_sending: u64,
 }
 
 impl Statistics {
@@ -66,6 +69,7 @@
         self.reused += other.reused;
         self.forwarded += other.forwarded;
         self.body_left_unread += other.body_left_unread;
+        self.ended_while_sending += other.ended_while_sending;
     }
 }
 
@@ -331,6 +335,8 @@
         statistics.calls += 1;
         statistics.reused += u64::from(record.reused);
         statistics.body_left_unread += u64::from(record.body_left_unread);
+        let ended_while_sending = record.body_left_unread && call.body == LARGE_BODY_BYTES;
+        statistics.ended_while_sending += u64::from(ended_while_sending && ended.is_some());
         statistics.forwarded += u64::from(ended.is_some_and(|e| e.response.is_some()));
     }
     Ok(statistics)
@@ -487,7 +493,9 @@
         "too few responses are forwarded: {all:?}"
     );
     assert!(
-        all.body_left_unread > 0 && all.outcomes.len() >= 7,
+        all.body_left_unread > 0
+            && all.ended_while_sending > all.calls / 1000
+            && all.outcomes.len() >= 7,
         "{all:?}"
     );
 }
--- a/crates/data-plane/tests/model/schedule.rs
+++ b/crates/data-plane/tests/model/schedule.rs
@@ -351,10 +351,13 @@
     begins_work_after: Option<usize>,
     /// Whether it stops reading where it would otherwise read without responding.
     stops_reading: bool,
+    /// Whether a body that it leaves unread is too large to be sent all the same.
+    has_large_body: bool,
 }
 
 impl PartialRead {
-    fn apply(self, behaviour: &mut Behaviour) {
+    fn apply(self, call: &mut Call) {
+        let behaviour = &mut call.behaviour;
         let work = self.begins_work_after.filter(|_| behaviour.runs);
         behaviour
             .before_body
@@ -362,15 +365,19 @@
         if self.stops_reading && behaviour.end == End::Silent {
             behaviour.end = End::Unread;
         }
+        if self.has_large_body && call.body > 0 && !behaviour.reads_body {
+            call.body = LARGE_BODY_BYTES;
+        }
     }
 }
 
 fn partial_read() -> impl Strategy<Value = PartialRead> {
     let bytes = prop_oneof![1 => Just(0), 2 => 1..9000usize, 2 => 9000..EARLY_START_BYTES];
-    (prop::option::weighted(0.3, bytes), percent(50)).prop_map(
-        |(begins_work_after, stops_reading)| PartialRead {
+    (prop::option::weighted(0.3, bytes), percent(50), percent(50)).prop_map(
+        |(begins_work_after, stops_reading, has_large_body)| PartialRead {
             begins_work_after,
             stops_reading,
+            has_large_body,
         },
     )
 }
@@ -380,7 +387,7 @@
     let partial_reads = vec(partial_read(), MAX_CALLS);
     (vec(call(), 1..=MAX_CALLS), partial_reads).prop_map(|(mut calls, partial_reads)| {
         for (call, partial_read) in calls.iter_mut().zip(partial_reads) {
-            partial_read.apply(&mut call.behaviour);
+            partial_read.apply(call);
         }
         Schedule { calls }
     })
