--- a/crates/load-balancing/src/interface/events.rs
+++ b/crates/load-balancing/src/interface/events.rs
@@ -15,7 +15,7 @@
     NotOwner,
     /// No answer in time; may have run.
     Timeout,
-    /// No connection could be made; has not run.
+    /// Nothing was sent, mostly because no connection could be made; has not run.
     ConnectFailed,
     /// The connection broke; may have run.
     Reset,
