Let crowds of uncontrolled clients show what exhausts a process

Each lets a crowd send what no caller of ours sends, keeps it open, and checks that the process lives, that the most memory it ever held and its descriptors stay within the machine's, and that an ordinary request of each kind is answered beside the crowd. The bounds are the machine's limits; nothing depends on times.

--- a/crates/shorefront/tests/common/mock_server.rs
+++ b/crates/shorefront/tests/common/mock_server.rs
@@ -8,6 +8,13 @@
 /// request line and the headers in lower case. The status is 200.
 pub(crate) fn start_mock_server(
     respond: impl Fn(&str, &str) -> String + Send + Clone + 'static,
+) -> SocketAddr {
+    start_body_reading_server(move |request_line, headers, _| respond(request_line, headers))
+}
+
+/// Does the same, and passes the body of each request to `respond` too.
+pub(crate) fn start_body_reading_server(
+    respond: impl Fn(&str, &str, &[u8]) -> String + Send + Clone + 'static,
 ) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
@@ -21,11 +28,11 @@
 }
 
 /// Serves one connection until it ends.
-fn serve(stream: &TcpStream, respond: impl Fn(&str, &str) -> String) -> Option<()> {
+fn serve(stream: &TcpStream, respond: impl Fn(&str, &str, &[u8]) -> String) -> Option<()> {
     let mut reader = BufReader::new(stream.try_clone().expect("a copy"));
     loop {
-        let (request_line, headers) = read_request(&mut reader)?;
-        let body = respond(&request_line, &headers);
+        let (request_line, headers, body) = read_request(&mut reader)?;
+        let body = respond(&request_line, &headers, &body);
         let length = body.len();
         let id = headers.lines().find(|l| l.starts_with("attempt-id: "));
         let echo = id.map(|id| format!("{id}\r\n")).unwrap_or_default();
@@ -36,8 +43,8 @@
     }
 }
 
-/// Reads one request with its body, and returns the request line and the headers in lower case.
-fn read_request(reader: &mut BufReader<TcpStream>) -> Option<(String, String)> {
+/// Reads one request, and returns the request line, the headers in lower case and the body.
+fn read_request(reader: &mut BufReader<TcpStream>) -> Option<(String, String, Vec<u8>)> {
     let (mut request_line, mut headers) = (String::new(), String::new());
     if reader.read_line(&mut request_line).unwrap_or(0) == 0 {
         return None;
@@ -54,5 +61,5 @@
         .find_map(|l| l.strip_prefix("content-length: "));
     let mut body = vec![0; length.and_then(|l| l.parse().ok()).unwrap_or(0)];
     reader.read_exact(&mut body).ok()?;
-    Some((request_line, headers))
+    Some((request_line, headers, body))
 }
--- /dev/null
+++ b/crates/shorefront/tests/uncontrolled_clients/operator_interface.rs
@@ -0,0 +1,68 @@
+//! Crowds at the interface for operators.
+
+use serde_json::json;
+
+use crate::common::http_client::{get, post};
+use crate::common::wait_for;
+use crate::crowd::{Crowd, Framing, Upload};
+use crate::machine::check_process;
+use crate::{MANY_FDS, run_alone, start_system, start_upstream};
+
+/// The maximum size of a configuration.
+const MAX_CONFIGURATION_BYTES: usize = 8 << 20;
+/// The callers in a crowd.
+const CALLERS: usize = 32;
+/// The callers in a crowd that sends tiny chunks.
+const CALLERS_WITH_TINY_CHUNKS: usize = 16;
+
+/// Lets a crowd send configurations of which most stop just short of their end, and checks the control balancer while
+/// they stay open: it lives within its limits, and one ordinary call of each kind succeeds.
+fn check_beside_configurations(name: &str, callers: usize, framing: Framing, body_bytes: usize) {
+    let _alone = run_alone();
+    let mut system = start_system(name, MANY_FDS, start_upstream());
+    let upload = Upload {
+        head: "POST /-/Config.Replace HTTP/1.1\r\nHost: c\r\nBase-Version: 5\r\n".into(),
+        framing,
+        body_bytes,
+        withheld_bytes: match framing {
+            Framing::Length => 1,
+            Framing::Chunks(bytes) => bytes,
+        },
+    };
+    let crowd = Crowd::upload(system.ctl, callers, &upload);
+    check_process("the control balancer", system.control(), MANY_FDS);
+    let amendment = json!({"rev": 7, "upsert": {}, "remove": {}});
+    let status = post(system.ctl, "/-/Config.Amend", 5, &amendment).map(|r| r.status);
+    assert_eq!(status, Some(200), "an amendment beside the crowd");
+    drop(crowd);
+    let revision = wait_for("the configuration", || {
+        get(system.ctl, "c", "/-/Config.Read").filter(|response| response.status == 200)
+    });
+    assert!(revision.body.contains("\"rev\":7"), "{}", revision.body);
+    check_process("the control balancer", system.control(), MANY_FDS);
+}
+
+/// Guards against configurations of which each is limited, but not all together.
+#[test]
+fn announced_configurations_that_stop_short_stay_within_memory() {
+    check_beside_configurations(
+        "ctl-length",
+        CALLERS,
+        Framing::Length,
+        MAX_CONFIGURATION_BYTES,
+    );
+}
+
+/// Guards against the same in chunks.
+#[test]
+fn chunked_configurations_that_stop_short_stay_within_memory() {
+    let framing = Framing::Chunks(64 << 10);
+    check_beside_configurations("ctl-chunks", CALLERS, framing, MAX_CONFIGURATION_BYTES);
+}
+
+/// Guards against memory that grows with the number of chunks of a configuration.
+#[test]
+fn configurations_in_tiny_chunks_stay_within_memory() {
+    let framing = Framing::Chunks(1);
+    check_beside_configurations("ctl-tiny", CALLERS_WITH_TINY_CHUNKS, framing, 256 << 10);
+}
--- a/crates/shorefront/tests/whole_path/system.rs
+++ b/crates/shorefront/tests/whole_path/system.rs
@@ -20,7 +20,7 @@
     pub(crate) readiness: SocketAddr,
     settings: SettingsTemplate,
     control: Option<Process>,
-    _data_plane: Process,
+    pub(crate) data_plane: Process,
     /// Request lines that the upstream has received.
     request_lines: Arc<Mutex<Vec<String>>>,
 }
@@ -29,22 +29,33 @@
     /// Starts the system with upstream `i-1` of service `one` and `i-2` of service `two`. Each responds with the
     /// name of the upstream that the request was meant for.
     pub(crate) fn start(name: &str) -> Self {
-        let folder = temporary_folder(name);
         let request_lines = Arc::new(Mutex::new(Vec::new()));
         let upstream = start_upstream(request_lines.clone());
-        let platform = start_mock_server(move |_, _| {
-            instance_list(&[
-                instance("i-1", "one", upstream, 2),
-                instance("i-2", "two", upstream, 2),
-            ])
-        });
+        let instances = [
+            instance("i-1", "one", upstream, 2),
+            instance("i-2", "two", upstream, 2),
+        ];
+        let mut system = Self::start_with(name, &json!({}), &instances);
+        system.request_lines = request_lines;
+        system
+    }
+
+    /// Starts the system on machines with these limits (`limits` of the settings), with these upstreams.
+    pub(crate) fn start_with(name: &str, limits: &Value, instances: &[Value]) -> Self {
+        let folder = temporary_folder(name);
+        let list = instance_list(instances);
+        let platform = start_mock_server(move |_, _| list.clone());
         let (ctl, http, readiness) = (free_address(), free_address(), free_address());
         let settings = SettingsTemplate {
             ctl,
             internal_port: free_port(),
             platform,
         };
-        let of = |listen: &Value| settings.settings("edge-1", &folder, true, listen);
+        let of = |listen: &Value| {
+            let mut settings = settings.settings("edge-1", &folder, true, listen);
+            settings["limits"] = limits.clone();
+            settings
+        };
         let control = start(&folder, "control", &of(&json!({"ctl": ctl})));
         let listen = json!({"http": http, "readiness": readiness});
         let data_plane = start(&folder, "data-plane", &of(&listen));
@@ -55,11 +66,16 @@
             readiness,
             settings,
             control: Some(control),
-            _data_plane: data_plane,
-            request_lines,
+            data_plane,
+            request_lines: Arc::default(),
         }
     }
 
+    /// Returns the running control balancer.
+    pub(crate) fn control(&mut self) -> &mut Process {
+        self.control.as_mut().expect("it runs")
+    }
+
     /// Applies the first configuration, and waits until the data plane is ready.
     pub(crate) fn configure(&self, config: &Value) {
         wait_for("the configuration", || {
@@ -70,7 +86,8 @@
 
     /// Kills the control balancer with SIGKILL.
     pub(crate) fn kill_control(&mut self) {
-        self.control.take().expect("it runs").kill();
+        self.control().kill();
+        self.control = None;
     }
 
     /// Starts the control balancer again with its stored data.
