Count request bodies as they arrive, and let stalled and large ones give way

A budget alone would trade the end of the process for starvation: where bodies are reserved by what their heads announce, three stalled clients of 8 MiB already had an ordinary request refused with 503. A body was also no longer counted once its client had left, though a request that may run only once is still being sent then.

Change: `request_memory` reserves memory before it is allocated, and only for bytes that arrive. `request_body` collects them in segments of 64 KiB that are never copied; upstreams are sent the segments. Where memory runs short, an incomplete body gives way: one whose client has sent nothing for 1 s, the largest of them first, otherwise the largest one, also if that is the one that needs the memory. Its request has not been forwarded, so it gets 503 with Retry-After and `Connection: close`. A complete body never gives way. Bodies of at most 64 KiB have 1/32 of mem_mb of their own, which large ones can't occupy. The reservation belongs to the body, and lasts as long. New metric: shorefront_evicted_request_bodies_total{reason}.

The crowd's clients now have ids: a request that was refused with 503 must carry Retry-After and must not have run.

--- a/crates/data-plane/src/engine/tests.rs
+++ b/crates/data-plane/src/engine/tests.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use super::*;
+use crate::request_body::RequestBody;
 use crate::upstream_pool::{
     AttemptResult, ForwardedRequest, LoadReportFormat, PoolConfig, UpstreamProtocol,
     implies_not_run,
@@ -123,7 +124,7 @@
             method,
             uri,
             headers,
-            body: Bytes::new(),
+            body: RequestBody::default(),
         };
         self.engine.handle_event(EngineEvent::RequestArrived {
             id,
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -36,6 +36,8 @@
 pub mod http_client;
 pub mod listener;
 pub mod metrics;
+pub mod request_body;
+pub mod request_memory;
 mod response_desync;
 pub mod routes;
 pub mod runtime;
--- a/crates/data-plane/src/metrics.rs
+++ b/crates/data-plane/src/metrics.rs
@@ -20,6 +20,7 @@
 
 use crate::engine::AbandonedAttempts;
 use crate::headers::ClientResponse;
+use crate::request_memory::RequestMemory;
 
 const OPENMETRICS_CONTENT_TYPE: HeaderValue =
     HeaderValue::from_static("application/openmetrics-text; version=1.0.0; charset=utf-8");
@@ -111,8 +112,9 @@
 }
 
 impl Metrics {
-    /// Creates the metrics, all at zero. Abandoned attempts are counted by the engine and only registered here.
-    pub fn new(abandoned: &AbandonedAttempts) -> Self {
+    /// Creates the metrics, all at zero. Abandoned attempts are counted by the engine, evicted request bodies by their
+    /// memory; both are only registered here.
+    pub fn new(abandoned: &AbandonedAttempts, request_memory: &RequestMemory) -> Self {
         let new_histogram: fn() -> Histogram = || Histogram::new(DURATION_BUCKETS_SECONDS);
         let metrics = Self {
             registry: RefCell::new(Registry::with_prefix("shorefront")),
@@ -125,6 +127,7 @@
             upstreams: Gauge::default(),
         };
         metrics.register(abandoned);
+        request_memory.register(&mut metrics.registry.borrow_mut());
         metrics
     }
 
--- a/crates/data-plane/src/metrics/tests.rs
+++ b/crates/data-plane/src/metrics/tests.rs
@@ -1,10 +1,12 @@
 //! Metrics of a route in the text format, before and after the route is removed.
 
 use super::*;
+use crate::request_memory::RequestMemoryLimits;
 
 #[test]
 fn counters_are_reported_and_removed_with_their_route() {
-    let metrics = Metrics::new(&AbandonedAttempts::default());
+    let memory = RequestMemory::new(RequestMemoryLimits::of_machine(0));
+    let metrics = Metrics::new(&AbandonedAttempts::default(), &memory);
     let arrived = Instant::now();
     for outcome in OUTCOMES {
         metrics.route("a").record_response(outcome, arrived);
--- /dev/null
+++ b/crates/data-plane/src/request_memory.rs
@@ -0,0 +1,296 @@
+//! Memory for the bodies of requests, from their first byte until the request has its response, and who gives way when
+//! it runs short.
+//!
+//! - `budget`: how much memory there is, and how much of it each body has reserved.
+//! - `eviction`: which body gives way.
+//! - `metrics`: how often that happened.
+//!
+//! **State.** The reserved bytes, and a table of the bodies that are being received. What has arrived of a body is in
+//! the table, so that an eviction frees its memory at once.
+//!
+//! **Guarantees.** Memory is reserved before it is allocated, and only for bytes that arrive, not for those that a head
+//! announces. A body in many small chunks takes no more than one in few. An incomplete body gives way to others; its
+//! request has not been forwarded and never will be. A complete body is never evicted.
+//!
+//! **Failures.** A body for which there is no memory, or that gave way, ends with [`ReceiveError::NoMemory`].
+
+mod budget;
+mod eviction;
+mod metrics;
+
+use std::cell::{Cell, RefCell};
+use std::pin::pin;
+use std::rc::Rc;
+
+use http_body_util::BodyExt;
+use hyper::body::{Body, Bytes, Incoming};
+use prometheus_client::registry::Registry;
+use rustc_hash::FxHashMap;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until};
+
+pub use self::budget::MemoryReservation;
+use self::budget::{Budget, Pool};
+use self::eviction::{Candidate, Claim, choose_longest_stalled, choose_victim};
+use self::metrics::{EvictionReason, Evictions};
+use crate::request_body::{RequestBody, SegmentedBuffer};
+
+/// Why there is no complete body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ReceiveError {
+    /// The body is larger than its limit.
+    #[error("the body is larger than the limit")]
+    TooLarge,
+    /// The body was not complete in time.
+    #[error("the body was not received in time")]
+    TimedOut,
+    /// The body is malformed, or its client has disconnected.
+    #[error("the body is malformed or was cut short")]
+    Malformed,
+    /// The memory for request bodies is exhausted. The body was refused, or has given way to another one.
+    #[error("no memory for the body")]
+    NoMemory,
+}
+
+/// How much memory request bodies may occupy, in bytes.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestMemoryLimits {
+    /// All bodies together, but for the next field.
+    pub shared_bytes: usize,
+    /// Additional memory for bodies of at most 64 KiB, which large ones can't occupy.
+    pub small_body_bytes: usize,
+}
+
+/// The memory of a machine divided by this is the memory that all request bodies share.
+const SHARED_MEMORY_DIVISOR: usize = 4;
+/// The memory of a machine divided by this is the memory for small request bodies.
+const SMALL_BODY_MEMORY_DIVISOR: usize = 32;
+
+impl RequestMemoryLimits {
+    /// Returns the limits for a process that may use `memory_bytes` bytes.
+    pub fn of_machine(memory_bytes: usize) -> Self {
+        Self {
+            shared_bytes: memory_bytes / SHARED_MEMORY_DIVISOR,
+            small_body_bytes: memory_bytes / SMALL_BODY_MEMORY_DIVISOR,
+        }
+    }
+}
+
+/// The memory of all request bodies of a listener.
+pub struct RequestMemory {
+    budget: Rc<Budget>,
+    receiving: RefCell<FxHashMap<u64, Rc<IncompleteBody>>>,
+    next_id: Cell<u64>,
+    evictions: Evictions,
+}
+
+/// A body that is being received.
+struct IncompleteBody {
+    content: RefCell<Content>,
+    /// When its last bytes arrived, or when the receipt began.
+    last_progress: Cell<Instant>,
+    is_evicted: Cell<bool>,
+    evicted: Notify,
+}
+
+/// What has arrived of a body, and the memory that it occupies.
+struct Content {
+    buffer: SegmentedBuffer,
+    reservation: MemoryReservation,
+}
+
+/// The entry of a body in the table, which is removed on drop.
+struct TableEntry<'a> {
+    memory: &'a RequestMemory,
+    id: u64,
+    body: Rc<IncompleteBody>,
+}
+
+impl Drop for TableEntry<'_> {
+    fn drop(&mut self) {
+        self.memory.receiving.borrow_mut().remove(&self.id);
+    }
+}
+
+impl RequestMemory {
+    /// Creates the memory, none of it reserved.
+    pub fn new(limits: RequestMemoryLimits) -> Self {
+        Self {
+            budget: Rc::new(Budget::new(limits)),
+            receiving: RefCell::default(),
+            next_id: Cell::new(0),
+            evictions: Evictions::default(),
+        }
+    }
+
+    /// Registers the metrics for export.
+    pub(crate) fn register(&self, registry: &mut Registry) {
+        self.evictions.register(registry);
+    }
+
+    /// Receives a complete body of at most `max_bytes` bytes before `until`.
+    ///
+    /// # Errors
+    /// Returns an error if the body is too large, malformed or late, or if there is no memory for it.
+    pub async fn receive(
+        &self,
+        mut body: Incoming,
+        max_bytes: usize,
+        until: Instant,
+    ) -> Result<RequestBody, ReceiveError> {
+        if body.is_end_stream() {
+            return Ok(RequestBody::default());
+        }
+        let announced = body.size_hint().exact();
+        if announced.is_some_and(|length| length > max_bytes as u64) {
+            return Err(ReceiveError::TooLarge);
+        }
+        let entry = self.add_to_table(announced.map(|length| length as usize));
+        let mut deadline = pin!(sleep_until(until));
+        loop {
+            let frame = tokio::select! {
+                biased;
+                () = entry.body.evicted.notified() => return Err(ReceiveError::NoMemory),
+                frame = body.frame() => frame,
+                () = &mut deadline => return Err(ReceiveError::TimedOut),
+            };
+            match frame {
+                // Trailers are not forwarded.
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.append(&entry, &data, max_bytes)?;
+                    }
+                }
+                Some(Err(_)) => return Err(ReceiveError::Malformed),
+                None => return Ok(entry.body.take_content().into_body()),
+            }
+        }
+    }
+
+    /// Evicts the incomplete body whose client has stalled longest, since its connection is needed; returns false if
+    /// none has stalled.
+    pub fn evict_stalled(&self) -> bool {
+        let Some(id) = choose_longest_stalled(&self.candidates(None), Instant::now()) else {
+            return false;
+        };
+        self.evictions.count(EvictionReason::Stalled);
+        self.evict(id);
+        true
+    }
+
+    /// Adds a new body to the table.
+    fn add_to_table(&self, announced: Option<usize>) -> TableEntry<'_> {
+        let id = self.next_id.replace(self.next_id.get() + 1);
+        let body = Rc::new(IncompleteBody {
+            content: RefCell::new(Content {
+                buffer: SegmentedBuffer::new(announced),
+                reservation: MemoryReservation::new(self.budget.clone()),
+            }),
+            last_progress: Cell::new(Instant::now()),
+            is_evicted: Cell::new(false),
+            evicted: Notify::new(),
+        });
+        self.receiving.borrow_mut().insert(id, body.clone());
+        TableEntry {
+            memory: self,
+            id,
+            body,
+        }
+    }
+
+    /// Appends data to a body, and reserves and allocates memory as needed.
+    fn append(
+        &self,
+        entry: &TableEntry<'_>,
+        data: &Bytes,
+        max_bytes: usize,
+    ) -> Result<(), ReceiveError> {
+        let mut rest = &data[..];
+        if entry.body.content.borrow().buffer.len() + rest.len() > max_bytes {
+            return Err(ReceiveError::TooLarge);
+        }
+        entry.body.last_progress.set(Instant::now());
+        while !rest.is_empty() {
+            if entry.body.content.borrow().buffer.spare_bytes() == 0 {
+                self.enlarge(entry)?;
+            }
+            rest = entry.body.content.borrow_mut().buffer.append(rest);
+        }
+        Ok(())
+    }
+
+    /// Enlarges the buffer of a body by its next segment. Evicts other bodies if there is not enough memory.
+    fn enlarge(&self, entry: &TableEntry<'_>) -> Result<(), ReceiveError> {
+        loop {
+            let claim = {
+                let content = &mut *entry.body.content.borrow_mut();
+                let additional = content.buffer.next_growth();
+                if content.reservation.grow(additional) {
+                    content.buffer.grow(additional);
+                    return Ok(());
+                }
+                Claim {
+                    bytes: content.reservation.bytes() + additional,
+                }
+            };
+            let candidates = self.candidates(Some(entry.id));
+            let Some(victim) = choose_victim(&candidates, claim, Instant::now()) else {
+                self.evictions.count(EvictionReason::NoMemory);
+                return Err(ReceiveError::NoMemory);
+            };
+            self.evictions.count(EvictionReason::GaveWay);
+            self.evict(victim);
+        }
+    }
+
+    /// Returns the incomplete bodies that may give way, all but the one with the id `excluded`.
+    fn candidates(&self, excluded: Option<u64>) -> Vec<Candidate> {
+        let receiving = self.receiving.borrow();
+        let others = receiving
+            .iter()
+            .filter(|(id, body)| Some(**id) != excluded && !body.is_evicted.get());
+        others
+            .map(|(id, body)| {
+                let content = body.content.borrow();
+                Candidate {
+                    id: *id,
+                    bytes: content.reservation.bytes(),
+                    is_in_small_pool: content.reservation.pool() == Pool::Small,
+                    last_progress: body.last_progress.get(),
+                }
+            })
+            .collect()
+    }
+
+    /// Frees the memory of a body, and wakes the task that receives it.
+    fn evict(&self, id: u64) {
+        let body = self.receiving.borrow().get(&id).cloned();
+        if let Some(body) = body {
+            drop(body.take_content());
+            body.is_evicted.set(true);
+            body.evicted.notify_one();
+        }
+    }
+}
+
+impl IncompleteBody {
+    /// Takes what has arrived, with its reservation.
+    fn take_content(&self) -> Content {
+        let content = &mut *self.content.borrow_mut();
+        let reservation = content.reservation.take();
+        let buffer = std::mem::take(&mut content.buffer);
+        Content {
+            buffer,
+            reservation,
+        }
+    }
+}
+
+impl Content {
+    fn into_body(self) -> RequestBody {
+        self.buffer.into_body(self.reservation)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/data-plane/src/request_memory/budget.rs
@@ -0,0 +1,125 @@
+//! How much memory request bodies may occupy, and how much of it each has reserved.
+//!
+//! Two pools: one for all bodies, and one that only small bodies may use, so that large ones can't occupy everything. A
+//! small body uses its own pool first. A body that grows beyond [`SMALL_BODY_BYTES`] moves to the shared pool.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use super::RequestMemoryLimits;
+
+/// The largest body that may use the pool for small bodies.
+pub(super) const SMALL_BODY_BYTES: usize = 64 << 10;
+
+/// Where the memory of a body is reserved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Pool {
+    /// Only for bodies of at most [`SMALL_BODY_BYTES`].
+    Small,
+    /// For all bodies.
+    Shared,
+}
+
+/// The limits of both pools, and how much of each is reserved.
+pub(super) struct Budget {
+    limits: RequestMemoryLimits,
+    shared_bytes: Cell<usize>,
+    small_bytes: Cell<usize>,
+}
+
+impl Budget {
+    pub(super) fn new(limits: RequestMemoryLimits) -> Self {
+        Self {
+            limits,
+            shared_bytes: Cell::new(0),
+            small_bytes: Cell::new(0),
+        }
+    }
+
+    /// Returns how many bytes are reserved in both pools.
+    #[cfg(test)]
+    pub(super) fn reserved_bytes(&self) -> usize {
+        self.shared_bytes.get() + self.small_bytes.get()
+    }
+
+    fn reserved(&self, pool: Pool) -> (&Cell<usize>, usize) {
+        match pool {
+            Pool::Small => (&self.small_bytes, self.limits.small_body_bytes),
+            Pool::Shared => (&self.shared_bytes, self.limits.shared_bytes),
+        }
+    }
+
+    /// Reserves bytes in a pool; returns false if they don't fit.
+    fn reserve(&self, pool: Pool, bytes: usize) -> bool {
+        let (reserved, max_bytes) = self.reserved(pool);
+        let fits = bytes <= max_bytes.saturating_sub(reserved.get());
+        if fits {
+            reserved.set(reserved.get() + bytes);
+        }
+        fits
+    }
+
+    fn release(&self, pool: Pool, bytes: usize) {
+        let (reserved, _) = self.reserved(pool);
+        reserved.set(reserved.get() - bytes);
+    }
+}
+
+/// The memory that is reserved for one body; released on drop.
+pub struct MemoryReservation {
+    budget: Rc<Budget>,
+    pool: Pool,
+    bytes: usize,
+}
+
+impl MemoryReservation {
+    /// Creates a reservation of no bytes.
+    pub(super) fn new(budget: Rc<Budget>) -> Self {
+        Self {
+            budget,
+            pool: Pool::Small,
+            bytes: 0,
+        }
+    }
+
+    pub(super) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    pub(super) fn pool(&self) -> Pool {
+        self.pool
+    }
+
+    /// Reserves more bytes; returns false, and changes nothing, if neither pool that the body may use has enough left.
+    pub(super) fn grow(&mut self, additional: usize) -> bool {
+        let total = self.bytes + additional;
+        let may_stay = self.pool == Pool::Shared || total <= SMALL_BODY_BYTES;
+        if may_stay && self.budget.reserve(self.pool, additional) {
+            self.bytes = total;
+            return true;
+        }
+        self.pool == Pool::Small && self.move_to_shared_pool(total)
+    }
+
+    /// Moves to the shared pool and reserves `total` bytes there.
+    fn move_to_shared_pool(&mut self, total: usize) -> bool {
+        if !self.budget.reserve(Pool::Shared, total) {
+            return false;
+        }
+        self.budget.release(self.pool, self.bytes);
+        (self.pool, self.bytes) = (Pool::Shared, total);
+        true
+    }
+
+    /// Returns the reservation, and leaves one of no bytes.
+    pub(super) fn take(&mut self) -> Self {
+        let empty = Self::new(self.budget.clone());
+        std::mem::replace(self, empty)
+    }
+}
+
+impl Drop for MemoryReservation {
+    fn drop(&mut self) {
+        self.budget.release(self.pool, self.bytes);
+    }
+}
--- /dev/null
+++ b/crates/data-plane/src/request_memory/tests.rs
@@ -0,0 +1,120 @@
+//! Which bodies get memory and which give way, in paused time.
+
+use std::time::Duration;
+
+use tokio::time::advance;
+
+use super::budget::SMALL_BODY_BYTES;
+use super::eviction::{DISCONNECTED_AFTER, STALLED_AFTER};
+use super::*;
+
+/// Memory for three large bodies and some small ones.
+const LIMITS: RequestMemoryLimits = RequestMemoryLimits {
+    shared_bytes: 3 << 20,
+    small_body_bytes: 64 << 10,
+};
+const MAX_BYTES: usize = 8 << 20;
+
+/// Appends this many bytes to a body.
+fn append(
+    memory: &RequestMemory,
+    entry: &TableEntry<'_>,
+    bytes: usize,
+) -> Result<(), ReceiveError> {
+    memory.append(entry, &Bytes::from(vec![b'x'; bytes]), MAX_BYTES)
+}
+
+/// Starts a body of unknown length with this many bytes.
+fn start(memory: &RequestMemory, bytes: usize) -> TableEntry<'_> {
+    let entry = memory.add_to_table(None);
+    append(memory, &entry, bytes).expect("memory for the body");
+    entry
+}
+
+/// Guards against a body that keeps its memory after it was evicted or has ended.
+#[tokio::test(start_paused = true)]
+async fn memory_is_reserved_until_the_body_is_dropped() {
+    let memory = RequestMemory::new(LIMITS);
+    let entry = start(&memory, 1 << 20);
+    let reserved = memory.budget.reserved_bytes();
+    assert!((1 << 20..(1 << 20) + 2 * SMALL_BODY_BYTES).contains(&reserved));
+    let body = entry.body.take_content().into_body();
+    drop(entry);
+    assert_eq!(body.len(), 1 << 20);
+    assert_eq!(
+        memory.budget.reserved_bytes(),
+        reserved,
+        "complete, not yet forwarded"
+    );
+    drop(body);
+    assert_eq!(memory.budget.reserved_bytes(), 0);
+}
+
+/// Guards against large bodies that lock out a small one, and against bodies that evict each other without end.
+#[tokio::test(start_paused = true)]
+async fn largest_incomplete_body_gives_way() {
+    let memory = RequestMemory::new(LIMITS);
+    let large = start(&memory, 2 << 20);
+    let medium = start(&memory, 1 << 19);
+    assert_eq!(
+        append(&memory, &large, 1 << 20),
+        Err(ReceiveError::NoMemory),
+        "the largest is the one that grows"
+    );
+    assert!(!medium.body.is_evicted.get());
+    append(&memory, &medium, 3 << 19).expect("a larger one gives way");
+    assert!(large.body.is_evicted.get() && !medium.body.is_evicted.get());
+    assert_eq!(memory.evictions.get(EvictionReason::GaveWay), 1);
+    assert_eq!(memory.evictions.get(EvictionReason::NoMemory), 1);
+}
+
+/// Guards against stalled bodies that lock out one that is being sent.
+#[tokio::test(start_paused = true)]
+async fn stalled_body_gives_way_to_a_larger_one() {
+    let memory = RequestMemory::new(LIMITS);
+    let stalled = start(&memory, 1 << 20);
+    advance(STALLED_AFTER).await;
+    let sending = start(&memory, 1 << 20);
+    append(&memory, &sending, 3 << 19).expect("the stalled one gives way");
+    assert!(stalled.body.is_evicted.get());
+}
+
+/// Guards against an eviction that ends a request which may already be forwarded.
+#[tokio::test(start_paused = true)]
+async fn complete_body_does_not_give_way() {
+    let memory = RequestMemory::new(LIMITS);
+    let entry = start(&memory, 5 << 19);
+    let complete = entry.body.take_content().into_body();
+    drop(entry);
+    advance(STALLED_AFTER).await;
+    let next = start(&memory, 1 << 18);
+    assert_eq!(append(&memory, &next, 1 << 20), Err(ReceiveError::NoMemory));
+    assert_eq!(complete.len(), 5 << 19);
+    // The memory for small bodies is not available to large ones.
+    drop(start(&memory, 1000));
+}
+
+/// Guards against small bodies that lock out each other: the smallest one is always received.
+#[tokio::test(start_paused = true)]
+async fn smaller_body_is_received_beside_many_others() {
+    let memory = RequestMemory::new(LIMITS);
+    let others: Vec<_> = (0..100).map(|_| start(&memory, 32 << 10)).collect();
+    let small = start(&memory, 1000);
+    let evicted = others.iter().filter(|other| other.body.is_evicted.get());
+    assert!(evicted.count() > 0 && !small.body.is_evicted.get());
+}
+
+/// Guards against connections that stalled requests occupy for good.
+#[tokio::test(start_paused = true)]
+async fn longest_stalled_body_is_evicted_for_its_connection() {
+    let memory = RequestMemory::new(LIMITS);
+    let first = start(&memory, 100);
+    advance(Duration::from_millis(1)).await;
+    let second = start(&memory, 100);
+    assert!(!memory.evict_stalled(), "none has stalled for long enough");
+    advance(DISCONNECTED_AFTER).await;
+    append(&memory, &first, 1).expect("memory for the body");
+    assert!(memory.evict_stalled());
+    assert!(second.body.is_evicted.get() && !first.body.is_evicted.get());
+    assert!(!memory.evict_stalled(), "the other one has just sent data");
+}
--- a/crates/data-plane/src/routes.rs
+++ b/crates/data-plane/src/routes.rs
@@ -39,13 +39,10 @@
 use self::route_table::RouteTable;
 use self::services::ServiceTable;
 use self::watch_updates::ControlState;
-use crate::body::BodyBudget;
 use crate::change_notifier::ChangeNotifier;
 use crate::engine::EngineHandle;
 use crate::metrics::Metrics;
-
-/// The memory limit divided by this is the budget for request bodies that are being read or held.
-const BODY_MEMORY_DIVISOR: usize = 4;
+use crate::request_memory::{RequestMemory, RequestMemoryLimits};
 
 /// The maximum duration in a configuration, one day; longer ones are reduced to it. Adding a longer duration to a clock
 /// might overflow.
@@ -102,7 +99,7 @@
     topology: Topology,
     /// The limits that the settings prescribe, such as the one on retries.
     bounds: Bounds,
-    body_budget: BodyBudget,
+    request_memory: RequestMemory,
     control_state: RefCell<ControlState>,
     route_table: RouteTable,
     services: RefCell<ServiceTable>,
@@ -122,13 +119,14 @@
         engine: EngineHandle,
         on_limits: Box<dyn Fn(&RequestLimits)>,
     ) -> Rc<Self> {
-        let metrics = Metrics::new(engine.abandoned_attempts());
-        let memory_bytes = settings.limits.mem_mb << 20;
+        let memory_limits = RequestMemoryLimits::of_machine(settings.limits.mem_mb << 20);
+        let request_memory = RequestMemory::new(memory_limits);
+        let metrics = Metrics::new(engine.abandoned_attempts(), &request_memory);
         Rc::new(Self {
             engine,
             topology: Topology::new(settings),
             bounds: settings.bounds.clone(),
-            body_budget: BodyBudget::new(memory_bytes / BODY_MEMORY_DIVISOR),
+            request_memory,
             control_state: RefCell::default(),
             route_table: RouteTable::default(),
             services: RefCell::default(),
--- a/crates/data-plane/src/routes/request.rs
+++ b/crates/data-plane/src/routes/request.rs
@@ -2,13 +2,12 @@
 //! its body within the limits, submits it to the engine, and converts the result into a response.
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use load_balancing::interface::Span;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use super::Routes;
 use super::client_deadline::ClientDeadline;
@@ -20,6 +19,7 @@
 };
 use crate::listener::RequestHandler;
 use crate::metrics::RequestOutcome;
+use crate::request_memory::ReceiveError;
 use crate::upstream_pool::ForwardedRequest;
 
 /// The `Retry-After` of a request that is refused for lack of a configuration or of memory for its body. Long enough
@@ -46,6 +46,9 @@
     BodyTooLarge,
     #[error("the body was not received before the request's deadline")]
     BodyTimeout,
+    /// Like [`Self::Refused`], but a part of the body was not read.
+    #[error("no memory for the body")]
+    NoMemory,
     #[error("none of the route's services has a weight above zero")]
     NoService,
     /// The request has not run and may be sent again.
@@ -65,7 +68,7 @@
             Self::Malformed(_) | Self::BodyTooLarge | Self::BodyTimeout | Self::NoService => {
                 RequestOutcome::Malformed
             }
-            Self::Refused { .. } => RequestOutcome::Refused,
+            Self::Refused { .. } | Self::NoMemory => RequestOutcome::Refused,
             Self::DeadlineExceeded | Self::NoResponse => RequestOutcome::Failed,
         }
     }
@@ -76,6 +79,12 @@
             Self::BodyTooLarge => empty_response(StatusCode::PAYLOAD_TOO_LARGE),
             Self::BodyTimeout => empty_response(StatusCode::REQUEST_TIMEOUT),
             Self::NoService => empty_response(StatusCode::NOT_FOUND),
+            Self::NoMemory => {
+                let mut response =
+                    retry_later(StatusCode::SERVICE_UNAVAILABLE, NOT_READY_RETRY_AFTER);
+                close_connection(&mut response);
+                response
+            }
             Self::Refused { retry_after } => {
                 retry_later(StatusCode::SERVICE_UNAVAILABLE, retry_after)
             }
@@ -85,6 +94,23 @@
     }
 }
 
+impl From<ReceiveError> for RequestError {
+    fn from(error: ReceiveError) -> Self {
+        match error {
+            ReceiveError::TooLarge => Self::BodyTooLarge,
+            ReceiveError::TimedOut => Self::BodyTimeout,
+            ReceiveError::Malformed => Self::Malformed("body"),
+            ReceiveError::NoMemory => Self::NoMemory,
+        }
+    }
+}
+
+/// Lets the connection be closed after the response, since what follows on it can't be read as a request.
+fn close_connection(response: &mut ClientResponse) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+}
+
 impl RequestHandler for Routes {
     async fn handle_request(
         &self,
@@ -98,9 +124,7 @@
         let chunked = request.headers().contains_key(TRANSFER_ENCODING);
         let mut response = self.respond(request, arrived_at).await;
         if chunked || response.status() == StatusCode::BAD_REQUEST {
-            response
-                .headers_mut()
-                .insert(CONNECTION, HeaderValue::from_static("close"));
+            close_connection(&mut response);
         }
         response
     }
@@ -144,18 +168,10 @@
         } = ClientDeadline::from_headers(&head.headers, route, arrived_at)?;
         let until = arrived_at + deadline;
         let max_body_bytes = self.control_state.borrow().limits.max_body_bytes;
-        let length = body.size_hint().exact();
-        if length.is_some_and(|l| l > max_body_bytes as u64) {
-            return Err(RequestError::BodyTooLarge);
-        }
-        // Held until the response is complete, since the body may be sent again until then.
-        let _reservation = self
-            .body_budget
-            .reserve(length.unwrap_or(0) as usize)
-            .ok_or(RequestError::Refused {
-                retry_after: NOT_READY_RETRY_AFTER,
-            })?;
-        let body = read_body(body, max_body_bytes, until).await?;
+        let body = self
+            .request_memory
+            .receive(body, max_body_bytes, until)
+            .await?;
         let Split { service, class, .. } = self
             .route_table
             .next_split(route)
@@ -209,20 +225,6 @@
     Ok(())
 }
 
-/// Reads a complete body of at most `max_bytes` bytes before `until`.
-async fn read_body(
-    body: Incoming,
-    max_bytes: usize,
-    until: Instant,
-) -> Result<Bytes, RequestError> {
-    match timeout_at(until, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RequestError::BodyTooLarge),
-        Ok(Err(_)) => Err(RequestError::Malformed("body")),
-        Err(_) => Err(RequestError::BodyTimeout),
-    }
-}
-
 /// Converts the engine's reply into a response or an error.
 fn into_result(reply: EngineReply, method: &Method) -> Result<ClientResponse, RequestError> {
     match reply {
--- a/crates/data-plane/src/upstream_connection/request.rs
+++ b/crates/data-plane/src/upstream_connection/request.rs
@@ -2,6 +2,11 @@
 
 use std::io::IoSlice;
 
+use crate::request_body::RequestBody;
+
+/// How many parts of a request one write passes to the kernel: the head and some segments of the body.
+const MAX_WRITE_SLICES: usize = 4;
+
 /// How much of a request was passed to the kernel, and whether the upstream has begun to respond to it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SendProgress {
@@ -36,7 +41,7 @@
     /// The encoded head, including the empty line.
     pub head: &'a [u8],
     /// The body; may be empty.
-    pub body: &'a [u8],
+    pub body: &'a RequestBody,
     /// Borrowed, since the caller needs it after an exchange was aborted.
     pub progress: &'a mut SendProgress,
     /// Whether writing has ended because the response has begun or writing has failed. After a failure there may still
@@ -46,7 +51,7 @@
 
 impl<'a> OutgoingRequest<'a> {
     /// Creates a request of which nothing was written, and resets `progress`.
-    pub fn new(head: &'a [u8], body: &'a [u8], progress: &'a mut SendProgress) -> Self {
+    pub fn new(head: &'a [u8], body: &'a RequestBody, progress: &'a mut SendProgress) -> Self {
         *progress = SendProgress {
             bytes_sent: 0,
             total_bytes: head.len() + body.len(),
@@ -60,16 +65,13 @@
         }
     }
 
-    /// Returns the parts of head and body that were not written yet.
-    pub(super) fn remaining(&self) -> [IoSlice<'a>; 2] {
+    /// Returns the next parts of head and body that were not written yet.
+    pub(super) fn remaining(&self) -> [IoSlice<'a>; MAX_WRITE_SLICES] {
         let sent = self.progress.bytes_sent;
-        [
-            IoSlice::new(self.head.get(sent..).unwrap_or_default()),
-            IoSlice::new(
-                self.body
-                    .get(sent.saturating_sub(self.head.len())..)
-                    .unwrap_or_default(),
-            ),
-        ]
+        let mut slices = [IoSlice::new(&[]); MAX_WRITE_SLICES];
+        slices[0] = IoSlice::new(self.head.get(sent..).unwrap_or_default());
+        let body_sent = sent.saturating_sub(self.head.len());
+        self.body.fill_slices(body_sent, &mut slices[1..]);
+        slices
     }
 }
--- a/crates/data-plane/src/upstream_connection/tests.rs
+++ b/crates/data-plane/src/upstream_connection/tests.rs
@@ -7,6 +7,7 @@
 
 use super::matching::MAX_EXCHANGES;
 use super::*;
+use crate::request_body::RequestBody;
 
 static ID: HeaderName = HeaderName::from_static("attempt-id");
 
@@ -39,8 +40,8 @@
 async fn receive(connection: &mut UpstreamConnection, id: &str) -> Option<Bytes> {
     let id = HeaderValue::from_str(id).expect("an id");
     let budget = BodyBudget::new(1 << 20);
-    let mut progress = SendProgress::default();
-    let mut request = OutgoingRequest::new(b"x", b"", &mut progress);
+    let (body, mut progress) = (RequestBody::default(), SendProgress::default());
+    let mut request = OutgoingRequest::new(b"x", &body, &mut progress);
     request.progress.bytes_sent = 1;
     connection
         .receive(&awaited(&id), &mut request, &budget)
@@ -134,8 +135,8 @@
 
 /// Returns the body of the response to a request without an id on this connection.
 async fn receive_without_id(connection: &mut UpstreamConnection) -> Option<Bytes> {
-    let mut progress = SendProgress::default();
-    let mut request = OutgoingRequest::new(b"x", b"", &mut progress);
+    let (body, mut progress) = (RequestBody::default(), SendProgress::default());
+    let mut request = OutgoingRequest::new(b"x", &body, &mut progress);
     request.progress.bytes_sent = 1;
     let awaited = AwaitedResponse {
         method: &Method::GET,
@@ -223,7 +224,7 @@
 async fn response_before_the_request_is_written_is_received() {
     let (mut connection, mut peer) = loopback_connection().await;
     let mut progress = SendProgress::default();
-    let large = vec![b'x'; 64 << 20];
+    let large = RequestBody::from(vec![b'x'; 64 << 20]);
     peer.write_all(response_with_id("b", "full").as_bytes())
         .await
         .expect("written");
@@ -326,8 +327,9 @@
         ..awaited(&id)
     };
     let budget = BodyBudget::new(2 << 20);
+    let body = RequestBody::from(body.to_vec());
     let response = async {
-        let mut request = OutgoingRequest::new(b"head", body, &mut progress);
+        let mut request = OutgoingRequest::new(b"head", &body, &mut progress);
         connection.send(&mut request).await.ok()?;
         connection
             .receive(&awaited, &mut request, &budget)
@@ -796,7 +798,8 @@
         let (mut connection, mut peer) = memory_connection(1 << 16, &["a"]);
         peer.write_all(response.as_bytes()).await.expect("written");
         let (id, mut progress) = (HeaderValue::from_static("b"), SendProgress::default());
-        let mut request = OutgoingRequest::new(b"head", b"", &mut progress);
+        let body = RequestBody::default();
+        let mut request = OutgoingRequest::new(b"head", &body, &mut progress);
         connection.send(&mut request).await.expect("written");
         let received = connection
             .receive(&awaited(&id), &mut request, &small_budget)
--- a/crates/data-plane/src/upstream_pool/protocol.rs
+++ b/crates/data-plane/src/upstream_pool/protocol.rs
@@ -11,6 +11,7 @@
 
 use super::{LoadReportFormat, Target};
 use crate::framing::names_in_connection;
+use crate::request_body::RequestBody;
 use crate::upstream_connection::{AwaitedResponse, EchoedId};
 
 /// How long before the timeout that the upstream announces in `Keep-Alive` idle connections are closed, but not before
@@ -145,7 +146,7 @@
     /// The headers, without hop-by-hop headers.
     pub headers: HeaderMap,
     /// The complete body.
-    pub body: Bytes,
+    pub body: RequestBody,
 }
 
 impl ForwardedRequest {
--- a/crates/data-plane/src/upstream_pool/tests.rs
+++ b/crates/data-plane/src/upstream_pool/tests.rs
@@ -1,12 +1,12 @@
 //! Tests of request heads, load reports and attempt errors.
 
-use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{Method, StatusCode, Uri};
 use load_balancing::interface::{AttemptOutcome, LoadReport};
 use load_balancing::settings::LoadReportField;
 
 use super::*;
+use crate::request_body::RequestBody;
 use crate::upstream_connection::{NothingSent, ResponseFault};
 
 #[test]
@@ -75,7 +75,7 @@
         method: Method::POST,
         uri: Uri::from_static("/api/x?q=1"),
         headers,
-        body: Bytes::new(),
+        body: RequestBody::default(),
     };
     let address = Cell::new(SocketAddr::from(([127, 0, 0, 1], 1)));
     let name = Some(HeaderValue::from_static("i-7"));
--- a/crates/data-plane/tests/model/connection.rs
+++ b/crates/data-plane/tests/model/connection.rs
@@ -96,7 +96,7 @@
         method: method.clone(),
         uri,
         headers,
-        body: request_body(body),
+        body: request_body(body).to_vec().into(),
     }
 }
 
--- a/crates/shorefront/tests/uncontrolled_clients/crowd.rs
+++ b/crates/shorefront/tests/uncontrolled_clients/crowd.rs
@@ -10,6 +10,8 @@
 
 /// Time limit for a crowd, whose requests take long to read on a busy machine.
 const CROWD_LIMIT: Duration = Duration::from_secs(180);
+/// Of a crowd that stops short, one in so many clients sends its request completely.
+const COMPLETE_EVERY: usize = 8;
 /// Interval between two checks whether a crowd's bytes were read.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -42,24 +44,27 @@
 }
 
 impl Upload {
-    /// Returns the same request with the complete body.
-    pub(crate) fn complete(&self) -> Self {
-        Self {
-            withheld_bytes: 0,
-            ..self.clone()
-        }
+    /// Returns what a client without a number of its own sends.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        [self.encode_head(0), self.encode_body()].concat()
     }
 
-    /// Returns the bytes that the client sends.
-    pub(crate) fn encode(&self) -> Vec<u8> {
+    /// Returns the head that the client with this number sends. Its number is the id of its request.
+    fn encode_head(&self, client: usize) -> Vec<u8> {
+        let framing = match self.framing {
+            Framing::Length => format!("Content-Length: {}", self.body_bytes),
+            Framing::Chunks(_) => "Transfer-Encoding: chunked".to_string(),
+        };
+        format!("{}Attempt-Id: {client}\r\n{framing}\r\n\r\n", self.head).into_bytes()
+    }
+
+    /// Returns what the client sends of the body.
+    fn encode_body(&self) -> Vec<u8> {
         let sent = self.body_bytes - self.withheld_bytes;
-        let mut encoded = self.head.clone().into_bytes();
         let Framing::Chunks(chunk_bytes) = self.framing else {
-            encoded.extend(format!("Content-Length: {}\r\n\r\n", self.body_bytes).into_bytes());
-            encoded.extend(body(0..sent));
-            return encoded;
+            return body(0..sent);
         };
-        encoded.extend(b"Transfer-Encoding: chunked\r\n\r\n");
+        let mut encoded = Vec::new();
         for start in (0..sent).step_by(chunk_bytes) {
             let end = sent.min(start + chunk_bytes);
             encoded.extend(format!("{:x}\r\n", end - start).into_bytes());
@@ -74,43 +79,82 @@
 }
 
 /// Sends these bytes on a new connection. The balancer may refuse them at any time.
-pub(crate) fn send(at: SocketAddr, bytes: &[u8]) -> Option<TcpStream> {
+fn send(at: SocketAddr, head: &[u8], body: &[u8]) -> Option<TcpStream> {
     let mut stream = connect(at).ok()?;
     stream.set_write_timeout(Some(CROWD_LIMIT)).ok()?;
-    let _ = stream.write_all(bytes);
+    let _ = stream.write_all(head).and_then(|()| stream.write_all(body));
     Some(stream)
 }
 
-/// Connections that stay open while this value exists.
+/// Sends a request as the client with this number.
+pub(crate) fn send_upload(at: SocketAddr, client: usize, upload: &Upload) -> Option<TcpStream> {
+    send(at, &upload.encode_head(client), &upload.encode_body())
+}
+
+/// A request that was refused: the number of its client, and the head of the response.
+pub(crate) struct Refusal {
+    pub(crate) client: usize,
+    pub(crate) head: String,
+}
+
+/// Connections that stay open while this value exists, by the number of their client.
 pub(crate) struct Crowd(Vec<TcpStream>);
 
 impl Crowd {
     /// Sends these bytes on so many connections at once, and returns when each client has sent all that the balancer
     /// takes.
     pub(crate) fn send(at: SocketAddr, clients: usize, bytes: &[u8]) -> Self {
+        Self::send_each(clients, |_| send(at, bytes, b""))
+    }
+
+    /// Lets so many clients send this request at once, and returns when the balancer has read all that it takes. All
+    /// but every eighth withhold the end.
+    pub(crate) fn upload(at: SocketAddr, clients: usize, upload: &Upload) -> Self {
+        let complete = Upload {
+            withheld_bytes: 0,
+            ..upload.clone()
+        };
+        let (stopping_body, complete_body) = (upload.encode_body(), complete.encode_body());
+        let crowd = Self::send_each(clients, |client| {
+            let is_complete = client % COMPLETE_EVERY == 0;
+            let body = if is_complete {
+                &complete_body
+            } else {
+                &stopping_body
+            };
+            send(at, &upload.encode_head(client), body)
+        });
+        wait_until_read(at);
+        crowd
+    }
+
+    fn send_each(
+        clients: usize,
+        send: impl Fn(usize) -> Option<TcpStream> + Send + Copy + Sync,
+    ) -> Self {
         thread::scope(|scope| {
             let clients: Vec<_> = (0..clients)
-                .map(|_| scope.spawn(|| send(at, bytes)))
+                .map(|client| scope.spawn(move || send(client)))
                 .collect();
             let streams = clients
                 .into_iter()
                 .map(|client| client.join().expect("a client"));
-            Self(streams.flatten().collect())
+            Self(streams.map(|stream| stream.expect("connected")).collect())
         })
     }
 
-    /// Lets so many clients send this request at once, and returns when the balancer has read all that it takes. All
-    /// but every eighth withhold the end.
-    pub(crate) fn upload(at: SocketAddr, clients: usize, upload: &Upload) -> Self {
-        let complete = clients / 8;
-        let (stopping, complete_bytes) = (upload.encode(), upload.complete().encode());
-        thread::scope(|scope| {
-            let others = scope.spawn(|| Self::send(at, complete, &complete_bytes));
-            let mut crowd = Self::send(at, clients - complete, &stopping);
-            crowd.0.extend(others.join().expect("a crowd").0);
-            wait_until_read(at);
-            crowd
-        })
+    /// Returns the refusals that have arrived. Those that a reset has destroyed are left out.
+    pub(crate) fn refusals(&self) -> Vec<Refusal> {
+        let heads = self.0.iter().enumerate().filter_map(|(client, stream)| {
+            stream.set_nonblocking(true).expect("set");
+            let mut head = [0; 512];
+            let bytes = (&*stream).read(&mut head).ok().filter(|bytes| *bytes > 0)?;
+            let head = String::from_utf8_lossy(&head[..bytes]).into_owned();
+            Some(Refusal { client, head })
+        });
+        heads
+            .filter(|refusal| !refusal.head.contains(" 200 "))
+            .collect()
     }
 }
 
@@ -129,6 +173,7 @@
 /// Returns whether the kernel holds bytes that were sent to this address, on either side of a connection.
 fn has_unread_bytes(at: SocketAddr) -> bool {
     const ESTABLISHED: &str = "01";
+    let has_bytes = |queue: &str| queue.bytes().any(|digit| digit != b'0');
     let port = format!(":{:04X}", at.port());
     let table = std::fs::read_to_string("/proc/net/tcp").expect("readable");
     table.lines().skip(1).any(|line| {
@@ -137,15 +182,15 @@
             return false;
         };
         let (to_send, unread) = queues.split_once(':').expect("two queues");
-        let is_waiting = local.ends_with(&port) && unread.trim_start_matches('0') != ""
-            || remote.ends_with(&port) && to_send.trim_start_matches('0') != "";
+        let is_waiting = local.ends_with(&port) && has_bytes(unread)
+            || remote.ends_with(&port) && has_bytes(to_send);
         state == ESTABLISHED && is_waiting
     })
 }
 
 /// Sends one request, and returns the status and the body of the response.
 pub(crate) fn exchange(at: SocketAddr, upload: &Upload) -> Option<(u16, String)> {
-    let mut stream = send(at, &upload.encode())?;
+    let mut stream = send_upload(at, usize::MAX, upload)?;
     let mut response = String::new();
     stream.read_to_string(&mut response).ok()?;
     let status = response.split(' ').nth(1)?.parse().ok()?;
--- a/crates/shorefront/tests/uncontrolled_clients/machine.rs
+++ b/crates/shorefront/tests/uncontrolled_clients/machine.rs
@@ -5,7 +5,7 @@
 use crate::common::Process;
 
 /// The memory of a machine in MiB: `mem_mb` of the settings.
-pub(crate) const MACHINE_MEMORY_MB: usize = 96;
+const MACHINE_MEMORY_MB: usize = 96;
 
 /// Returns the `limits` of the settings of a machine with this many descriptors.
 pub(crate) fn limits(max_fds: usize) -> Value {
--- a/crates/shorefront/tests/uncontrolled_clients/main.rs
+++ b/crates/shorefront/tests/uncontrolled_clients/main.rs
@@ -10,9 +10,9 @@
 mod machine;
 mod operator_interface;
 #[path = "../whole_path/system.rs"]
-#[expect(dead_code, reason = "shared with the tests of the whole path")]
 mod system;
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::mpsc::{Receiver, channel};
@@ -23,8 +23,8 @@
 
 use crate::common::mock_server::start_body_reading_server;
 use crate::common::{instance, wait_for};
-use crate::crowd::{Crowd, Framing, Upload, exchange};
-use crate::machine::{MACHINE_MEMORY_MB, check_process, limits};
+use crate::crowd::{Crowd, Framing, Refusal, Upload, exchange, send_upload};
+use crate::machine::{check_process, limits};
 use crate::system::System;
 
 /// The maximum size of a body in the configuration.
@@ -36,6 +36,9 @@
 /// Descriptors of a machine that leave room for 18 client connections.
 const FEW_FDS: usize = 300;
 
+/// More clients than such a machine has connections.
+const CLIENTS_FOR_FEW_FDS: usize = 40;
+
 /// Lets the tests of this program run one at a time.
 fn run_alone() -> MutexGuard<'static, ()> {
     static RUNNING: Mutex<()> = Mutex::new(());
@@ -58,7 +61,16 @@
 
 /// Starts an upstream that responds with what it has received, or with a large body where the path asks for one.
 fn start_upstream() -> SocketAddr {
-    start_body_reading_server(|request_line, _, body| {
+    start_recording_upstream(Arc::default())
+}
+
+/// Does the same, and records the ids of the requests.
+fn start_recording_upstream(ids: Arc<Mutex<HashSet<String>>>) -> SocketAddr {
+    start_body_reading_server(move |request_line, headers, body| {
+        let id = headers
+            .lines()
+            .find_map(|line| line.strip_prefix("attempt-id: "));
+        ids.lock().expect("whole").extend(id.map(str::to_string));
         if request_line.contains("/large") {
             "x".repeat(LARGE_RESPONSE_BYTES)
         } else {
@@ -89,7 +101,7 @@
 }
 
 fn head(method: &str, path: &str) -> String {
-    format!("{method} {path} HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\nDeadline-Ms: 120000\r\n")
+    format!("{method} {path} HTTP/1.1\r\nHost: h\r\nDeadline-Ms: 120000\r\n")
 }
 
 /// Returns a request with a body, all of which the client sends.
@@ -129,11 +141,22 @@
 /// Lets a crowd send bodies of which most stop just short of their end, and checks the balancer while they stay open.
 fn check_beside_uploads(name: &str, clients: usize, upload: &Upload) {
     let _alone = run_alone();
-    let mut system = start_system(name, MANY_FDS, start_upstream());
+    let ids = Arc::new(Mutex::new(HashSet::new()));
+    let mut system = start_system(name, MANY_FDS, start_recording_upstream(ids.clone()));
     let crowd = Crowd::upload(system.http, clients, upload);
     check_balancer(&mut system, MANY_FDS);
+    let refusals = crowd.refusals();
+    println!("{} of {clients} requests were refused", refusals.len());
     drop(crowd);
     check_balancer(&mut system, MANY_FDS);
+    for Refusal { client, head } in refusals {
+        let has_run = ids.lock().expect("whole").contains(&client.to_string());
+        assert!(!has_run, "the request of client {client} ran: {head}");
+        assert!(
+            head.starts_with("HTTP/1.1 503") && head.contains("retry-after: "),
+            "a refusal promises that the request may be sent again: {head}"
+        );
+    }
 }
 
 /// Guards against bodies in chunks that are collected without being counted.
@@ -195,10 +218,10 @@
     let (release, released) = channel::<()>();
     let upstream = start_held_upstream(received.clone(), released);
     let mut system = start_system("left", MANY_FDS, upstream);
-    let bytes = upload(Framing::Length, MAX_BODY_BYTES).encode();
-    for _ in 0..24 {
+    let upload = upload(Framing::Length, MAX_BODY_BYTES);
+    for number in 0..24 {
         let received_before = received.load(Relaxed);
-        let client = crowd::send(system.http, &bytes).expect("connected");
+        let client = send_upload(system.http, number, &upload).expect("connected");
         client.set_nonblocking(true).expect("set");
         wait_for("the request at the upstream, or its refusal", || {
             let is_received = received.load(Relaxed) > received_before;
@@ -256,7 +279,7 @@
 fn check_beside_full_connections(name: &str, bytes: &[u8]) {
     let _alone = run_alone();
     let mut system = start_system(name, FEW_FDS, start_upstream());
-    let crowd = Crowd::send(system.http, 40, bytes);
+    let crowd = Crowd::send(system.http, CLIENTS_FOR_FEW_FDS, bytes);
     check_balancer(&mut system, FEW_FDS);
     drop(crowd);
     check_balancer(&mut system, FEW_FDS);
@@ -301,5 +324,4 @@
         assert_eq!(response, Some((200, expected)), "{framing:?}");
         check_process("the balancer", &mut system.data_plane, MANY_FDS);
     }
-    assert!(MAX_BODY_BYTES < MACHINE_MEMORY_MB << 20);
 }
--- a/crates/shorefront/tests/whole_path/system.rs
+++ b/crates/shorefront/tests/whole_path/system.rs
@@ -1,4 +1,5 @@
 //! A control balancer and a data-plane balancer, with mock servers for the platform and an upstream.
+#![allow(dead_code, reason = "each test program uses only a part of it")]
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/crates/standalone-proxy/src/api/mod.rs
+++ b/crates/standalone-proxy/src/api/mod.rs
@@ -113,7 +113,7 @@
             method: head.method,
             uri: head.uri,
             headers: forward_request_headers(head.headers, body.len()),
-            body,
+            body: body.to_vec().into(),
         };
         match self.engine.submit(SERVICE, incoming, forward).await {
             EngineReply::Served(response) => forward_response(response, &INTERNAL_HEADERS),
