Let stalled bodies give way in the standalone proxy too

Callers would get 503 as long as stalled clients occupied the memory for bodies: it was reserved by what heads announce. The same cause as in the data plane, and the same remedy: the proxy receives bodies through `request_memory`. Its bodies have 64 KiB at most, so all of them use the memory for small ones; its size stays an eighth of the limit.

--- a/crates/standalone-proxy/src/api/mod.rs
+++ b/crates/standalone-proxy/src/api/mod.rs
@@ -8,23 +8,22 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use data_plane::body::BodyBudget;
 use data_plane::engine::{EngineHandle, EngineReply, IncomingRequest};
 use data_plane::headers::{
     ClientResponse, bad_request, empty_response, forward_request_headers, forward_response,
     retry_later,
 };
 use data_plane::listener::RequestHandler;
+use data_plane::request_body::RequestBody;
+use data_plane::request_memory::{ReceiveError, RequestMemory, RequestMemoryLimits};
 use data_plane::upstream_pool::ForwardedRequest;
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, StatusCode};
 use load_balancing::interface::{Effect, RequestClass, Span};
 use load_balancing::settings::{SiteSettings, key_hash};
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 use crate::SERVICE;
 use crate::config::Config;
@@ -52,7 +51,7 @@
     /// Deadline of each class, by class index.
     deadlines: Vec<Duration>,
     open_ids: OpenIds,
-    bodies: BodyBudget,
+    request_memory: RequestMemory,
 }
 
 impl Api {
@@ -65,7 +64,11 @@
             effects: settings.classes.iter().map(|c| c.effect).collect(),
             deadlines: settings.classes.iter().map(deadline).collect(),
             open_ids: OpenIds::default(),
-            bodies: BodyBudget::new(config.max_memory_bytes / BODY_MEMORY_DIVISOR),
+            request_memory: RequestMemory::new(RequestMemoryLimits {
+                // All bodies are small.
+                shared_bytes: 0,
+                small_body_bytes: config.max_memory_bytes / BODY_MEMORY_DIVISOR,
+            }),
         }
     }
 
@@ -83,18 +86,11 @@
         if let Err(reason) = validate_head(&head) {
             return bad_request(reason);
         }
-        // The length is known in advance because requests with a transfer coding are rejected.
-        let length = body.size_hint().exact().unwrap_or(u64::MAX);
-        if length > MAX_BODY_BYTES as u64 {
-            return empty_response(StatusCode::PAYLOAD_TOO_LARGE);
-        }
-        let Some(_reservation) = self.bodies.reserve(length as usize) else {
-            return empty_response(StatusCode::SERVICE_UNAVAILABLE);
-        };
-        let body = match timeout(BODY_TIMEOUT, body.collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => return bad_request("body"),
-            Err(_) => return empty_response(StatusCode::REQUEST_TIMEOUT),
+        let until = Instant::now() + BODY_TIMEOUT;
+        let received = self.request_memory.receive(body, MAX_BODY_BYTES, until);
+        let body = match received.await {
+            Ok(body) => body,
+            Err(error) => return receive_error_response(error),
         };
         // An upstream could not distinguish two concurrent requests with the same id.
         let id = head.headers.get("x-request-id");
@@ -108,12 +104,17 @@
     }
 
     /// Submits a request to the engine and waits for its reply.
-    async fn submit(&self, incoming: IncomingRequest, head: Parts, body: Bytes) -> ClientResponse {
+    async fn submit(
+        &self,
+        incoming: IncomingRequest,
+        head: Parts,
+        body: RequestBody,
+    ) -> ClientResponse {
         let forward = ForwardedRequest {
             method: head.method,
             uri: head.uri,
             headers: forward_request_headers(head.headers, body.len()),
-            body: body.to_vec().into(),
+            body,
         };
         match self.engine.submit(SERVICE, incoming, forward).await {
             EngineReply::Served(response) => forward_response(response, &INTERNAL_HEADERS),
@@ -129,7 +130,7 @@
     fn incoming_request(
         &self,
         head: &Parts,
-        body: &Bytes,
+        body: &RequestBody,
         arrived: Instant,
     ) -> Result<IncomingRequest, &'static str> {
         let class = self.class_of(head)?;
@@ -169,7 +170,7 @@
     }
 
     /// Returns whether the method, body and idempotency key are valid for the effect of the class.
-    fn matches_effect(&self, class: usize, head: &Parts, body: &Bytes) -> bool {
+    fn matches_effect(&self, class: usize, head: &Parts, body: &RequestBody) -> bool {
         let key = head.headers.get("idempotency-key");
         match self.effects[class] {
             Effect::Safe => head.method == Method::GET && body.is_empty(),
@@ -179,6 +180,16 @@
     }
 }
 
+/// Returns the response to a request whose body was not received. The request has not run.
+fn receive_error_response(error: ReceiveError) -> ClientResponse {
+    match error {
+        ReceiveError::TooLarge => empty_response(StatusCode::PAYLOAD_TOO_LARGE),
+        ReceiveError::TimedOut => empty_response(StatusCode::REQUEST_TIMEOUT),
+        ReceiveError::Malformed => bad_request("body"),
+        ReceiveError::NoMemory => empty_response(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
 /// Returns the time that the client is willing to wait, from its `X-Deadline-Ms` header.
 fn deadline_of(head: &Parts) -> Result<Duration, &'static str> {
     header_text(head, "x-deadline-ms")
