Limit the memory of all configurations that a control process receives at once

Each configuration was limited to 8 MiB, but not all together, and one in tiny chunks took many times its size: 32 callers held 284 MiB on a machine of 96, 16 callers with chunks of 1 byte 162.

The operators' interface now receives bodies through `request_memory`: a quarter of mem_mb for all, 1/32 more for those of at most 64 KiB, the same rule for who gives way. The reservation lasts until the call has its outcome. A call that gave way gets 503, as where there is no majority; it has not been submitted, and callers resend it anyway.

--- a/crates/control-plane/src/http_api/operator_api.rs
+++ b/crates/control-plane/src/http_api/operator_api.rs
@@ -11,7 +11,8 @@
 //!
 //! A change of the configuration is rejected permanently with 400 (an invalid header or body, or a violated rule; the
 //! text names the field), 412 (another revision is current) or 413 (larger than half a frame). 408 means that its body
-//! took longer than 10 s.
+//! took longer than 10 s. 503 also means that there was no memory for its body, or that it gave way to another one while
+//! it was incomplete ([`data_plane::request_memory`]).
 //!
 //! Every call except `Status` and `metrics` may get 307 (another process leads; its address is in `Location`) or 503
 //! (no majority within 950 ms, or a command so old that its outcome is no longer known). After a 503 the outcome is
@@ -29,7 +30,7 @@
 use bytes::Bytes;
 use data_plane::headers::ClientResponse;
 use data_plane::listener::{DeliveryReceipt, DeliveryStatus, RequestHandler};
-use http_body_util::{BodyExt, Limited};
+use data_plane::request_memory::{MemoryReservation, ReceiveError, RequestMemory};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderName, HeaderValue, LOCATION};
 use hyper::{Method, Request, StatusCode};
@@ -37,7 +38,7 @@
 use protocol::wire::{MAX_FRAME_BYTES, Session};
 use raft::MemberReport;
 use serde_json::{Value, json};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use super::responses::{error_response, json_response, raw_json_response};
 use crate::command::{Command, CommandOutcome};
@@ -59,6 +60,8 @@
 pub struct OperatorApi {
     /// The process whose state is read and changed.
     pub server: Rc<ControlServer>,
+    /// The memory for configurations that are being received or submitted.
+    pub request_memory: RequestMemory,
 }
 
 impl RequestHandler for OperatorApi {
@@ -128,8 +131,12 @@
         command: impl FnOnce(u64, String) -> Command,
     ) -> ClientResponse {
         let path = request.uri().path().to_string();
-        let command = match read_change(request).await {
-            Ok((base, body)) => command(base, body),
+        let (command, _reservation) = match self.read_change(request).await {
+            Ok(ReceivedChange {
+                base,
+                body,
+                reservation,
+            }) => (command(base, body), reservation),
             Err(error) => return error_response(error.status(), &error.to_string()),
         };
         match self.server.submit_command(&command, COMMAND_TIMEOUT).await {
@@ -138,6 +145,31 @@
         }
     }
 
+    /// Reads the base revision and the body of a change of the configuration.
+    async fn read_change(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<ReceivedChange, InvalidChangeRequest> {
+        let base = request
+            .headers()
+            .get(BASE_VERSION_HEADER)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.trim().parse::<u64>().ok())
+            .ok_or(InvalidChangeRequest::InvalidBase)?;
+        let until = Instant::now() + BODY_READ_TIMEOUT;
+        let received = self
+            .request_memory
+            .receive(request.into_body(), MAX_BODY_BYTES, until)
+            .await?;
+        let (body, reservation) = received.into_vec();
+        let body = String::from_utf8(body).map_err(|_| InvalidChangeRequest::NotUtf8)?;
+        Ok(ReceivedChange {
+            base,
+            body,
+            reservation,
+        })
+    }
+
     /// Handles `Drain.Begin` and `Drain.Finish`. The connection is closed after the acknowledgement, because the way in
     /// which it ends shows whether the caller has read the acknowledgement.
     async fn change_zone(
@@ -265,6 +297,19 @@
     TimedOut,
     #[error("the body is not UTF-8")]
     NotUtf8,
+    #[error("no memory for the body")]
+    NoMemory,
+}
+
+impl From<ReceiveError> for InvalidChangeRequest {
+    fn from(error: ReceiveError) -> Self {
+        match error {
+            ReceiveError::TooLarge => Self::TooLarge,
+            ReceiveError::TimedOut => Self::TimedOut,
+            ReceiveError::Malformed => Self::Truncated,
+            ReceiveError::NoMemory => Self::NoMemory,
+        }
+    }
 }
 
 impl InvalidChangeRequest {
@@ -273,29 +318,17 @@
             Self::InvalidBase | Self::Truncated | Self::NotUtf8 => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TimedOut => StatusCode::REQUEST_TIMEOUT,
+            Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
 
-/// Reads the base revision and the body of a change of the configuration.
-async fn read_change(request: Request<Incoming>) -> Result<(u64, String), InvalidChangeRequest> {
-    let base = request
-        .headers()
-        .get(BASE_VERSION_HEADER)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.trim().parse::<u64>().ok())
-        .ok_or(InvalidChangeRequest::InvalidBase)?;
-    let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect();
-    let body = match timeout(BODY_READ_TIMEOUT, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            return Err(InvalidChangeRequest::TooLarge);
-        }
-        Ok(Err(_)) => return Err(InvalidChangeRequest::Truncated),
-        Err(_) => return Err(InvalidChangeRequest::TimedOut),
-    };
-    let body = String::from_utf8(body.into()).map_err(|_| InvalidChangeRequest::NotUtf8)?;
-    Ok((base, body))
+/// A change of the configuration that was read completely.
+struct ReceivedChange {
+    base: u64,
+    body: String,
+    /// Keeps the memory of the body reserved until the change has its outcome.
+    reservation: Option<MemoryReservation>,
 }
 
 /// Describes a balancer's session for `Status`.
--- a/crates/control-plane/src/runtime.rs
+++ b/crates/control-plane/src/runtime.rs
@@ -19,6 +19,7 @@
 
 use data_plane::client_connections::ClientTimeouts;
 use data_plane::listener::{FINAL_REQUEST_WAIT, Listener, ListenerLimits, RequestHandler};
+use data_plane::request_memory::{RequestMemory, RequestMemoryLimits};
 use load_balancing::settings::stable_hash;
 use protocol::settings::Settings;
 use raft::{Members, NodeId, PersistentState};
@@ -322,8 +323,10 @@
         let (stop_sender, stopping) = watch::channel(false);
         let mut tasks = Vec::new();
         if let Some(listener) = operators {
+            let memory_bytes = server.settings.limits.mem_mb << 20;
             let api = OperatorApi {
                 server: server.clone(),
+                request_memory: RequestMemory::new(RequestMemoryLimits::of_machine(memory_bytes)),
             };
             tasks.push(serve_api(api, limits, listener, stopping.clone()));
         }
