Take the connection of a stalled request for another client where none is left

Callers got no answer: clients that stopped in the middle of a body occupied every connection until the deadlines of their routes, since a connection with an open request is never evicted, and the listener accepted nobody else.

--- a/crates/control-plane/src/http_api/operator_api.rs
+++ b/crates/control-plane/src/http_api/operator_api.rs
@@ -102,6 +102,10 @@
             _ => error_response(StatusCode::NOT_FOUND, "no such call"),
         }
     }
+
+    fn evict_stalled_request(&self) -> bool {
+        self.request_memory.evict_stalled()
+    }
 }
 
 impl OperatorApi {
--- a/crates/data-plane/src/client_connections.rs
+++ b/crates/data-plane/src/client_connections.rs
@@ -122,15 +122,18 @@
     /// Evicts one connection without an open request: the one that has waited longest for a request head or to be
     /// closed, or else the one that has been idle longest. Otherwise hundreds of silent connections could occupy all
     /// slots and lock out every other client.
-    pub fn evict_idle(&self) {
+    /// Returns false if there is none.
+    pub fn evict_idle(&self) -> bool {
         let now = Instant::now();
         let open = self.open.borrow();
         let idle = open
             .values()
             .filter_map(|c| Some((c.eviction_rank(now)?, c)));
-        if let Some((_, longest)) = idle.min_by_key(|(rank, _)| *rank) {
+        let longest = idle.min_by_key(|(rank, _)| *rank);
+        if let Some((_, longest)) = longest {
             longest.evict();
         }
+        longest.is_some()
     }
 }
 
--- a/crates/data-plane/src/listener.rs
+++ b/crates/data-plane/src/listener.rs
@@ -41,6 +41,9 @@
 /// The pause before the next attempt to accept while all slots are occupied. A client in the backlog waits a moment; a
 /// connection accepted without a free file descriptor would be dropped.
 const FULL_BACKOFF: Duration = Duration::from_millis(1);
+/// The pause after a stalled request was evicted: its response is written and its connection drained before the slot is
+/// free, and fewer requests than there are new clients would be spared without the pause.
+const STALLED_BACKOFF: Duration = Duration::from_millis(5);
 /// How often shutdown checks whether all connections have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// How long a connection without an open request still waits for a request in transit when the listener closes: as long
@@ -79,6 +82,12 @@
         arrived_at: Instant,
         stopping: bool,
     ) -> impl Future<Output = ClientResponse>;
+
+    /// Ends a request whose client has stalled before its end, so that another client gets the connection; returns
+    /// false if there is none.
+    fn evict_stalled_request(&self) -> bool {
+        false
+    }
 }
 
 /// An HTTP/1 server with its request handler.
@@ -158,8 +167,7 @@
     async fn accept(self: &Rc<Self>, listener: &TcpListener, closing: &watch::Receiver<bool>) {
         loop {
             if self.connections.is_full() {
-                self.connections.evict_idle();
-                sleep(FULL_BACKOFF).await;
+                self.make_room().await;
                 continue;
             }
             match listener.accept().await {
@@ -173,6 +181,18 @@
         }
     }
 
+    /// Ends a connection or a request that can give way to another client, and waits a moment.
+    async fn make_room(&self) {
+        let is_evicting_request =
+            !self.connections.evict_idle() && self.handler.evict_stalled_request();
+        sleep(if is_evicting_request {
+            STALLED_BACKOFF
+        } else {
+            FULL_BACKOFF
+        })
+        .await;
+    }
+
     fn start_connection(self: &Rc<Self>, stream: TcpStream, closing: watch::Receiver<bool>) {
         // Errors are ignored: without the option small responses are only delayed.
         let _ = stream.set_nodelay(true);
--- a/crates/data-plane/src/routes/request.rs
+++ b/crates/data-plane/src/routes/request.rs
@@ -128,6 +128,10 @@
         }
         response
     }
+
+    fn evict_stalled_request(&self) -> bool {
+        self.request_memory.evict_stalled()
+    }
 }
 
 impl Routes {
--- a/crates/standalone-proxy/src/api/mod.rs
+++ b/crates/standalone-proxy/src/api/mod.rs
@@ -227,4 +227,7 @@
         }
         response
     }
+    fn evict_stalled_request(&self) -> bool {
+        self.request_memory.evict_stalled()
+    }
 }
