Evict clients that don't read their response where no connection is left

Callers got no answer: a client that left its response unread kept its connection for idle_timeout_ms, four times that if it read a byte now and then, and the listener accepted nobody else.

Where all connections are in use, a connection whose client has read nothing for 5 s is now evicted, before idle ones that have served a client. A client that reads slowly keeps its connection, as an older test demands.

--- a/crates/data-plane/src/client_connections.rs
+++ b/crates/data-plane/src/client_connections.rs
@@ -3,7 +3,8 @@
 //! Owns the registry of all open connections. `connection` contains the state and the timeouts of a single one.
 //!
 //! **Guarantees.** A connection with an open request is never evicted. **Failures.** A keep-alive connection may be
-//! evicted while its client's next request is in transit; the client then sends that request again (RFC 9112, 9.3.1).
+//! evicted while its client's next request is in transit; the client then sends that request again (RFC 9112, 9.3.1). A
+//! client that leaves its response unread may lose the rest of it.
 
 mod connection;
 
@@ -16,6 +17,7 @@
 
 use crate::client_stream::Traffic;
 pub use connection::ClientConnection;
+use connection::EVICT_SLOW_READER_AFTER;
 
 /// Timeouts of client connections.
 #[derive(Clone, Copy, Debug)]
@@ -120,9 +122,9 @@
     }
 
     /// Evicts one connection without an open request: the one that has waited longest for a request head or to be
-    /// closed, or else the one that has been idle longest. Otherwise hundreds of silent connections could occupy all
-    /// slots and lock out every other client.
-    /// Returns false if there is none.
+    /// closed, else the one whose client has left its response unread longest, or else the one that has been idle
+    /// longest. Otherwise hundreds of silent connections could occupy all slots and lock out every other client. Returns
+    /// false if there is none.
     pub fn evict_idle(&self) -> bool {
         let now = Instant::now();
         let open = self.open.borrow();
@@ -135,6 +137,26 @@
         }
         longest.is_some()
     }
+
+    /// Evicts the connection whose client has had its response longest without reading it, if that is long enough, since
+    /// the memory of the response is needed. Evicts only one at a time. Returns whether any client has left a response
+    /// unread, so that memory may be released soon.
+    pub fn evict_slow_reader(&self) -> bool {
+        let open = self.open.borrow();
+        if open.values().any(|c| c.is_evicted_slow_reader()) {
+            return true;
+        }
+        let unread = open
+            .values()
+            .filter_map(|c| Some((c.response_unread_since()?, c)));
+        let Some((since, slowest)) = unread.min_by_key(|(since, _)| *since) else {
+            return false;
+        };
+        if Instant::now() >= since + EVICT_SLOW_READER_AFTER {
+            slowest.evict();
+        }
+        true
+    }
 }
 
 #[cfg(test)]
--- a/crates/data-plane/src/client_connections/connection.rs
+++ b/crates/data-plane/src/client_connections/connection.rs
@@ -18,14 +18,31 @@
 
 /// A connection that served a client within this time is not evicted.
 pub(super) const EVICT_IDLE_AFTER: Duration = Duration::from_secs(2);
+/// A client that has read nothing of its response for this long may be evicted for another one.
+pub(super) const EVICT_UNREAD_AFTER: Duration = Duration::from_secs(5);
 /// A connection on which no request has arrived for this long may be evicted: clients that have a request send it
 /// immediately.
 pub(super) const EVICT_UNUSED_AFTER: Duration = Duration::from_millis(250);
 
+/// A client that has not read its whole response this long after it was passed on loses the rest if the memory of the
+/// response is needed.
+pub(super) const EVICT_SLOW_READER_AFTER: Duration = Duration::from_secs(1);
+
 /// A client has to read a response completely within this many idle timeouts, and at least a part of it within each
 /// one. A client that needs a minute for a megabyte is treated as gone rather than slow.
 const MAX_RESPONSE_IDLE_TIMEOUTS: u32 = 4;
 
+/// The groups of connections in the order in which they are evicted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum EvictionOrder {
+    /// No request has arrived, or the connection is being closed.
+    Unused,
+    /// The client has stopped reading its response.
+    UnreadResponse,
+    /// The connection has served a client.
+    Idle,
+}
+
 /// One client connection.
 pub struct ClientConnection {
     timeouts: Rc<Cell<ClientTimeouts>>,
@@ -162,20 +179,48 @@
         }
     }
 
+    /// Returns when the response was passed on of which a part is still unread; `None` if there is none.
+    pub(super) fn response_unread_since(&self) -> Option<Instant> {
+        match self.state.get() {
+            State::KeepAlive(kept) if self.traffic.is_write_blocked() => Some(kept.answered_at),
+            _ => None,
+        }
+    }
+
+    /// Returns whether the connection was evicted while a response was unread, and is not closed yet.
+    pub(super) fn is_evicted_slow_reader(&self) -> bool {
+        matches!(self.state.get(), State::Evicted) && self.traffic.is_write_blocked()
+    }
+
     /// Returns the eviction order of the connection, or `None` if it must not be evicted now. The least rank is evicted
-    /// first. Idle connections that have served a client come last; within each group, the one that has waited longest
-    /// comes first.
-    pub(super) fn eviction_rank(&self, now: Instant) -> Option<(bool, Instant)> {
-        let (served, since, after) = match self.state.get() {
-            State::New { since } | State::Closing { since } => (false, since, EVICT_UNUSED_AFTER),
+    /// first; within each group, that is the one that has waited longest.
+    pub(super) fn eviction_rank(&self, now: Instant) -> Option<(EvictionOrder, Instant)> {
+        let (order, since, after) = match self.state.get() {
+            State::New { since } | State::Closing { since } => {
+                (EvictionOrder::Unused, since, EVICT_UNUSED_AFTER)
+            }
             State::KeepAlive(KeepAlive {
                 next_head: Some(began),
                 ..
-            }) => (false, began, EVICT_UNUSED_AFTER),
-            State::KeepAlive(_) => (true, self.idle_since()?, EVICT_IDLE_AFTER),
+            }) => (EvictionOrder::Unused, began, EVICT_UNUSED_AFTER),
+            State::KeepAlive(kept) if self.traffic.is_write_blocked() => (
+                EvictionOrder::UnreadResponse,
+                self.last_written(&kept),
+                EVICT_UNREAD_AFTER,
+            ),
+            State::KeepAlive(_) => (EvictionOrder::Idle, self.idle_since()?, EVICT_IDLE_AFTER),
             State::RequestOpen | State::Evicted => return None,
         };
-        (now >= since + after).then_some((served, since))
+        (now >= since + after).then_some((order, since))
+    }
+
+    /// Returns when a part of the response was last seen to be written.
+    fn last_written(&self, kept: &KeepAlive) -> Instant {
+        if kept.bytes_written == self.traffic.bytes_written() {
+            kept.last_written
+        } else {
+            Instant::now()
+        }
     }
 
     /// Selects the connection for eviction: [`Self::wait_for_eviction`] ends unless a request arrives first.
--- a/crates/data-plane/src/client_connections/tests.rs
+++ b/crates/data-plane/src/client_connections/tests.rs
@@ -5,7 +5,9 @@
 
 use tokio::time::{advance, timeout};
 
-use super::connection::{EVICT_IDLE_AFTER, EVICT_UNUSED_AFTER};
+use super::connection::{
+    EVICT_IDLE_AFTER, EVICT_SLOW_READER_AFTER, EVICT_UNREAD_AFTER, EVICT_UNUSED_AFTER,
+};
 use super::*;
 
 const TIMEOUTS: ClientTimeouts = ClientTimeouts {
@@ -125,3 +127,54 @@
     slot.on_response();
     assert!(!is_evicted(&slot).await);
 }
+
+/// Guards against clients that read nothing and thereby occupy every connection.
+#[tokio::test(start_paused = true)]
+async fn client_that_stopped_reading_is_evicted_for_another_one() {
+    let timeouts = ClientTimeouts {
+        idle: Duration::from_secs(60),
+        ..TIMEOUTS
+    };
+    let all = ClientConnections::new(1, 1, timeouts);
+    let traffic = Traffic::default();
+    let slot = all.register(traffic.clone());
+    slot.on_response();
+    traffic.record_write(&Poll::Pending);
+    assert!(!has_ended(&slot).await);
+    assert!(!all.evict_idle(), "the response has just been passed on");
+    advance(EVICT_UNREAD_AFTER).await;
+    assert!(all.evict_idle() && is_evicted(&slot).await);
+}
+
+/// Guards against unread responses that occupy the memory for all responses.
+#[tokio::test(start_paused = true)]
+async fn slowest_reader_is_evicted_where_memory_is_short() {
+    let all = ClientConnections::new(3, 3, TIMEOUTS);
+    let traffic: Vec<_> = (0..3).map(|_| Traffic::default()).collect();
+    let slots: Vec<_> = traffic.iter().map(|t| all.register(t.clone())).collect();
+    for (slot, traffic) in slots.iter().zip(&traffic) {
+        slot.on_response();
+        traffic.record_write(&Poll::Pending);
+        advance(Duration::from_millis(1)).await;
+    }
+    // The first one has read its response.
+    traffic[0].record_write(&Poll::Ready(Ok(1000)));
+    assert!(all.evict_slow_reader(), "memory may be released soon");
+    for slot in &slots {
+        assert!(!is_evicted(slot).await, "they had no time to read");
+    }
+    advance(EVICT_SLOW_READER_AFTER).await;
+    assert!(all.evict_slow_reader() && all.evict_slow_reader());
+    let evicted = [
+        is_evicted(&slots[0]).await,
+        is_evicted(&slots[1]).await,
+        is_evicted(&slots[2]).await,
+    ];
+    assert_eq!(
+        evicted,
+        [false, true, false],
+        "the slowest, and one at a time"
+    );
+    drop(slots);
+    assert!(!all.evict_slow_reader(), "nobody is left to release memory");
+}
