Disconnect the slowest reader where the memory for responses is short

Callers got 503 or 502 after their request had run: unread responses occupied the memory for responses, a quarter of mem_mb, and each further response was dropped as too large.

A response for which there is no memory now waits, within the deadline of its attempt, while clients have responses unread; after a second the one that has had its response longest is disconnected, one at a time. A closed connection promises nothing. Where nobody has a response unread, the response fails at once as before, with an error of its own.

--- a/crates/data-plane/src/body.rs
+++ b/crates/data-plane/src/body.rs
@@ -1,61 +1,109 @@
-//! Memory budgets for request and response bodies, and a buffer that reads a body within its budget.
+//! The memory budget for response bodies, and a buffer that reads a body within the budget.
 //!
-//! A [`BodyBudget`] limits the total size of all bodies of one direction (requests or responses). A [`BodyBuffer`]
-//! collects one body and reserves its size from the budget.
+//! A [`BodyBudget`] limits the total size of all bodies. A [`BodyBuffer`] collects one body and reserves its size from
+//! the budget.
 //!
-//! **State.** The number of reserved bytes of each budget. A reservation is released when its owner is dropped. For a
-//! body that was read, that is when the last copy of its [`Bytes`] is dropped, so bodies that are still being sent to a
-//! slow reader count too.
+//! **State.** The number of reserved bytes. A reservation is released when its owner is dropped. For a body that was
+//! read, that is when the last copy of its [`Bytes`] is dropped, so bodies that are still being sent to a slow reader
+//! count too.
 //!
 //! **Guarantees.** The reserved bytes never exceed the budget. A body that does not fit is refused, never truncated.
+//! Where memory is short, a body may wait for clients that leave their responses unread, which are disconnected.
 
+use std::cell::OnceCell;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::time::Duration;
 
 use bytes::Bytes;
+use tokio::sync::Notify;
+use tokio::time::timeout;
 
-/// The maximum total size of the bodies of one direction. Clones share the budget.
-///
-/// The counter is atomic because `Bytes` requires its owner to be `Send`; there is only one thread.
+/// How often a body that waits for memory lets a slow reader be disconnected.
+const SHORTAGE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Frees memory where it is short; returns whether some is about to be released.
+type ShortageHandler = Box<dyn Fn() -> bool>;
+
+/// The maximum total size of all bodies. Clones share the budget.
 #[derive(Clone)]
 pub struct BodyBudget {
-    reserved_bytes: Arc<AtomicUsize>,
+    usage: Arc<Usage>,
+    on_shortage: Rc<OnceCell<ShortageHandler>>,
+}
+
+/// How much of a budget is reserved.
+///
+/// The counter is atomic because `Bytes` requires its owner to be `Send`; there is only one thread.
+struct Usage {
+    reserved_bytes: AtomicUsize,
     max_bytes: usize,
+    released: Notify,
 }
 
 /// Bytes reserved from a budget; released on drop.
 pub struct BodyReservation {
-    budget: BodyBudget,
+    usage: Arc<Usage>,
     bytes: usize,
 }
 
+/// Why data could not be appended to a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AppendError {
+    /// The body exceeds its maximum size.
+    TooLarge,
+    /// The budget does not have enough left.
+    NoMemory,
+}
+
 impl BodyBudget {
     /// Creates a budget of `max_bytes` bytes, none of them reserved.
     pub fn new(max_bytes: usize) -> Self {
-        Self {
-            reserved_bytes: Arc::default(),
+        let usage = Usage {
+            reserved_bytes: AtomicUsize::new(0),
             max_bytes,
+            released: Notify::new(),
+        };
+        Self {
+            usage: Arc::new(usage),
+            on_shortage: Rc::default(),
         }
     }
 
+    /// Sets what frees memory where it is short. Has an effect only once.
+    pub fn set_shortage_handler(&self, on_shortage: impl Fn() -> bool + 'static) {
+        self.on_shortage.get_or_init(|| Box::new(on_shortage));
+    }
+
     /// Reserves `bytes` bytes. Returns `None` if fewer are available.
     pub fn reserve(&self, bytes: usize) -> Option<BodyReservation> {
         let mut reservation = BodyReservation {
-            budget: self.clone(),
+            usage: self.usage.clone(),
             bytes: 0,
         };
         reservation.grow_to(bytes).then_some(reservation)
     }
+
+    /// Lets memory be freed, and waits a moment for it; returns false if none is about to be.
+    pub async fn wait_for_memory(&self) -> bool {
+        let is_releasing = self.on_shortage.get().is_some_and(|handler| handler());
+        if is_releasing {
+            // After the interval the handler may have another client to disconnect.
+            let _ = timeout(SHORTAGE_POLL_INTERVAL, self.usage.released.notified()).await;
+        }
+        is_releasing
+    }
 }
 
 impl BodyReservation {
     /// Grows the reservation to `bytes` bytes; never shrinks it. Returns false if the budget does not have enough left.
     fn grow_to(&mut self, bytes: usize) -> bool {
         let additional = bytes.saturating_sub(self.bytes);
-        let reserved = self.budget.reserved_bytes.load(Relaxed);
-        let fits = additional <= self.budget.max_bytes.saturating_sub(reserved);
+        let reserved = self.usage.reserved_bytes.load(Relaxed);
+        let fits = additional <= self.usage.max_bytes.saturating_sub(reserved);
         if fits {
-            self.budget
+            self.usage
                 .reserved_bytes
                 .store(reserved + additional, Relaxed);
             self.bytes += additional;
@@ -66,7 +114,8 @@
 
 impl Drop for BodyReservation {
     fn drop(&mut self) {
-        self.budget.reserved_bytes.fetch_sub(self.bytes, Relaxed);
+        self.usage.reserved_bytes.fetch_sub(self.bytes, Relaxed);
+        self.usage.released.notify_waiters();
     }
 }
 
@@ -118,17 +167,23 @@
         }
     }
 
-    /// Appends the next bytes. Returns `None` if the body exceeds its maximum size or the budget.
-    pub fn append(&mut self, data: &[u8]) -> Option<()> {
-        self.length += data.len();
-        if self.length > self.max_bytes {
-            return None;
+    /// Appends the next bytes.
+    ///
+    /// # Errors
+    /// Returns an error, and appends nothing, if the body exceeds its maximum size or the budget.
+    pub fn append(&mut self, data: &[u8]) -> Result<(), AppendError> {
+        let length = self.length + data.len();
+        if length > self.max_bytes {
+            return Err(AppendError::TooLarge);
         }
         if let Some(reservation) = &mut self.reservation {
-            reservation.grow_to(self.length).then_some(())?;
+            if !reservation.grow_to(length) {
+                return Err(AppendError::NoMemory);
+            }
             self.body.extend_from_slice(data);
         }
-        Some(())
+        self.length = length;
+        Ok(())
     }
 
     /// Returns the complete body, which keeps its reservation; empty if the body was skipped.
--- a/crates/data-plane/src/body/tests.rs
+++ b/crates/data-plane/src/body/tests.rs
@@ -7,8 +7,8 @@
     let budget = BodyBudget::new(10);
     let read = |announced: usize, max_bytes: usize| {
         let mut body = BodyBuffer::new(&budget, announced, max_bytes)?;
-        body.append(b"123")?;
-        body.append(b"456")?;
+        body.append(b"123").ok()?;
+        body.append(b"456").ok()?;
         Some(body.into_bytes())
     };
     let first = read(6, 6).expect("within the budget");
@@ -23,5 +23,19 @@
     drop(part);
     assert!(read(6, 5).is_none() && read(0, 5).is_none(), "too large");
     assert!(read(6, 6).is_some() && read(0, 6).is_some());
-    assert_eq!(budget.reserved_bytes.load(Relaxed), 0);
+    assert_eq!(budget.usage.reserved_bytes.load(Relaxed), 0);
+}
+
+/// Guards against a response that fails although the memory of an unread one is about to be released.
+#[tokio::test(start_paused = true)]
+async fn body_waits_for_memory_only_while_some_is_about_to_be_released() {
+    let budget = BodyBudget::new(10);
+    let held = Rc::new(std::cell::RefCell::new(budget.reserve(10)));
+    assert!(!budget.wait_for_memory().await, "nothing releases any");
+    let releasing = held.clone();
+    budget.set_shortage_handler(move || releasing.borrow_mut().take().is_some());
+    assert!(BodyBuffer::new(&budget, 1, 10).is_none());
+    assert!(budget.wait_for_memory().await);
+    assert!(BodyBuffer::new(&budget, 1, 10).is_some());
+    assert!(!budget.wait_for_memory().await, "nothing releases any more");
 }
--- a/crates/data-plane/src/listener.rs
+++ b/crates/data-plane/src/listener.rs
@@ -124,6 +124,12 @@
         self.connections.set_timeouts(timeouts);
     }
 
+    /// Disconnects the client that has left its response unread longest, if that is long enough. Returns whether any has,
+    /// so that the memory of a response may be released soon.
+    pub fn evict_slow_reader(&self) -> bool {
+        self.connections.evict_slow_reader()
+    }
+
     /// Serves until `stop` completes, then shuts down gracefully. Returns when all connections have ended, or after the
     /// drain timeout.
     pub async fn serve(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
--- a/crates/data-plane/src/runtime.rs
+++ b/crates/data-plane/src/runtime.rs
@@ -33,7 +33,7 @@
 use crate::client_connections::ClientTimeouts;
 use crate::control_client::{CONNECT_TIMEOUT, ControlClient};
 use crate::engine::{Engine, EngineConfig, EngineEvent};
-use crate::listener::{Listener, ListenerLimits};
+use crate::listener::{Listener, ListenerLimits, RequestHandler};
 use crate::routes::Routes;
 use crate::upstream_pool::{
     LoadReportFormat, PoolConfig, UpstreamPool, UpstreamProtocol, implies_not_run,
@@ -132,7 +132,7 @@
         timer_granularity: TIMER_GRANULARITY,
         subscribe: None,
     };
-    let (engine, handle) = Engine::new(config, pool);
+    let (engine, handle) = Engine::new(config, pool.clone());
     let engine = spawn_local(engine.run());
     let send_event = Box::new(handle.event_sender());
     // Set below, since listener and routes refer to each other: the listener passes requests to the routes, and the
@@ -149,6 +149,7 @@
     let routes = Routes::new(settings, handle, Box::new(on_limits));
     let listener = Listener::new(routes.clone(), limits);
     limited_listener.get_or_init(|| Rc::downgrade(&listener));
+    disconnect_slow_readers_on_shortage(&pool, &listener);
     DataPlane {
         listener,
         routes,
@@ -157,6 +158,19 @@
     }
 }
 
+/// Lets the listener disconnect clients that leave their responses unread, where the memory for responses is short.
+pub fn disconnect_slow_readers_on_shortage<H: RequestHandler>(
+    pool: &UpstreamPool,
+    listener: &Rc<Listener<H>>,
+) {
+    let listener = Rc::downgrade(listener);
+    pool.set_response_shortage_handler(move || {
+        listener
+            .upgrade()
+            .is_some_and(|listener| listener.evict_slow_reader())
+    });
+}
+
 async fn bind(setting: &'static str, address: SocketAddr) -> Result<TcpListener, RuntimeError> {
     let bound = TcpListener::bind(address).await;
     bound.map_err(|source| RuntimeError::Bind {
--- a/crates/data-plane/src/upstream_connection.rs
+++ b/crates/data-plane/src/upstream_connection.rs
@@ -41,6 +41,7 @@
 pub use self::error::{IncompleteResponse, NothingSent, ResponseFault};
 pub use self::matching::{AwaitedResponse, EchoedId};
 use self::matching::{CarriedIds, ResponseOwner, response_owner};
+use self::reading::BodySink;
 pub use self::request::{OutgoingRequest, SendProgress};
 use crate::body::{BodyBudget, BodyBuffer};
 use crate::framing::{Framing, MAX_HEAD_BYTES, closes_connection, parse_head};
@@ -183,8 +184,9 @@
                         upstream = %self.address,
                         "discarding a surplus response to an earlier request"
                     );
-                    let skipped = BodyBuffer::skipping(MAX_RESPONSE_BYTES);
-                    self.read_body(framing, request, skipped).await?;
+                    let buffer = BodyBuffer::skipping(MAX_RESPONSE_BYTES);
+                    self.read_body(framing, request, BodySink { buffer, budget })
+                        .await?;
                     had_surplus = true;
                 }
                 ResponseOwner::Unclear => return Err(ResponseFault::UnclearOwner.into()),
@@ -202,9 +204,12 @@
         request: &mut OutgoingRequest<'_>,
         budget: &BodyBudget,
     ) -> Result<Response<Bytes>, IncompleteResponse> {
-        let body = match BodyBuffer::new(budget, framing.announced_bytes(), MAX_RESPONSE_BYTES) {
-            Some(buffer) => self.read_body(framing, request, buffer).await,
-            None => Err(ResponseFault::BodyTooLarge.into()),
+        let body = match create_buffer(budget, framing.announced_bytes()).await {
+            Ok(buffer) => {
+                self.read_body(framing, request, BodySink { buffer, budget })
+                    .await
+            }
+            Err(fault) => Err(fault.into()),
         };
         let fault = match body {
             Ok(body) if !self.contains_other_response(&body, awaited) => {
@@ -272,5 +277,20 @@
     }
 }
 
+/// Creates a buffer for a response that announces this many bytes. Waits for memory that is about to be released.
+async fn create_buffer(budget: &BodyBudget, announced: usize) -> Result<BodyBuffer, ResponseFault> {
+    if announced > MAX_RESPONSE_BYTES {
+        return Err(ResponseFault::BodyTooLarge);
+    }
+    loop {
+        if let Some(buffer) = BodyBuffer::new(budget, announced, MAX_RESPONSE_BYTES) {
+            return Ok(buffer);
+        }
+        if !budget.wait_for_memory().await {
+            return Err(ResponseFault::NoMemory);
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/data-plane/src/upstream_connection/error.rs
+++ b/crates/data-plane/src/upstream_connection/error.rs
@@ -23,9 +23,12 @@
     /// Whether the body is complete can't be determined, since a crash of the upstream also ends the connection.
     #[error("the body is delimited only by the end of the connection")]
     UndelimitedBody,
-    /// The body exceeds the size limit or the remaining memory budget for responses.
+    /// The body exceeds the size limit.
     #[error("the body is too large")]
     BodyTooLarge,
+    /// The memory budget for responses has too little left for the body.
+    #[error("no memory for the body")]
+    NoMemory,
     /// The echoed request id is missing or repeated, or is another one on a connection that carried no other request.
     #[error("the echoed request id is missing, repeated or unknown")]
     UnclearOwner,
--- a/crates/data-plane/src/upstream_connection/reading.rs
+++ b/crates/data-plane/src/upstream_connection/reading.rs
@@ -9,7 +9,7 @@
 use tokio::io::AsyncReadExt;
 
 use super::{IncompleteResponse, OutgoingRequest, ResponseFault, Transport, UpstreamConnection};
-use crate::body::BodyBuffer;
+use crate::body::{AppendError, BodyBudget, BodyBuffer};
 use crate::framing::{
     Framing, MAX_HEAD_BYTES, MalformedResponse, chunk_size, framing, is_trailer, parse_head,
 };
@@ -18,6 +18,27 @@
 /// Minimum free capacity of the buffer before each read, in bytes.
 const READ_BYTES: usize = 4 << 10;
 
+/// Where a body is read to.
+pub(super) struct BodySink<'a> {
+    pub(super) buffer: BodyBuffer,
+    pub(super) budget: &'a BodyBudget,
+}
+
+impl BodySink<'_> {
+    /// Appends the next bytes. Waits for memory that is about to be released.
+    async fn append(&mut self, data: &[u8]) -> Result<(), ResponseFault> {
+        while let Err(error) = self.buffer.append(data) {
+            if error == AppendError::TooLarge {
+                return Err(ResponseFault::BodyTooLarge);
+            }
+            if !self.budget.wait_for_memory().await {
+                return Err(ResponseFault::NoMemory);
+            }
+        }
+        Ok(())
+    }
+}
+
 impl<S: Transport> UpstreamConnection<S> {
     /// Reads available data; returns false at the end of the stream or on an error.
     pub(super) fn poll_read(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
@@ -79,7 +100,7 @@
         &mut self,
         framing: Framing,
         request: &mut OutgoingRequest<'_>,
-        mut body: BodyBuffer,
+        mut body: BodySink<'_>,
     ) -> Result<Bytes, IncompleteResponse> {
         match framing {
             Framing::Length(length) => self.read_bytes(&mut body, length, request).await?,
@@ -87,13 +108,13 @@
             // A crash of the upstream closes the connection just as the end of a body does.
             Framing::Close => return Err(ResponseFault::UndelimitedBody.into()),
         }
-        Ok(body.into_bytes())
+        Ok(body.buffer.into_bytes())
     }
 
     /// Reads `remaining` bytes into a body.
     async fn read_bytes(
         &mut self,
-        body: &mut BodyBuffer,
+        body: &mut BodySink<'_>,
         mut remaining: usize,
         request: &mut OutgoingRequest<'_>,
     ) -> Result<(), IncompleteResponse> {
@@ -102,8 +123,7 @@
                 self.read_more(request).await?;
             }
             let n = remaining.min(self.unread.len());
-            body.append(&self.unread[..n])
-                .ok_or(ResponseFault::BodyTooLarge)?;
+            body.append(&self.unread[..n]).await?;
             self.unread.advance(n);
             remaining -= n;
         }
@@ -113,7 +133,7 @@
     /// Reads chunks and trailers (RFC 9112, 7.1).
     async fn read_chunks(
         &mut self,
-        body: &mut BodyBuffer,
+        body: &mut BodySink<'_>,
         request: &mut OutgoingRequest<'_>,
     ) -> Result<(), IncompleteResponse> {
         loop {
--- a/crates/data-plane/src/upstream_pool.rs
+++ b/crates/data-plane/src/upstream_pool.rs
@@ -139,6 +139,12 @@
         pool
     }
 
+    /// Sets what frees memory where that for responses is short: it disconnects a client that leaves its response unread,
+    /// and returns whether some memory is about to be released.
+    pub fn set_response_shortage_handler(&self, on_shortage: impl Fn() -> bool + 'static) {
+        self.response_budget.set_shortage_handler(on_shortage);
+    }
+
     /// Closes connections that were idle for too long. Those that the upstream closed are detected when they are taken.
     fn close_expired(&self) {
         self.idle.borrow_mut().retain(|_, connections| {
--- a/crates/standalone-proxy/src/main.rs
+++ b/crates/standalone-proxy/src/main.rs
@@ -18,6 +18,7 @@
 use data_plane::abort_on_drop::AbortOnDrop;
 use data_plane::engine::{Engine, EngineConfig, EngineHandle};
 use data_plane::listener::Listener;
+use data_plane::runtime::disconnect_slow_readers_on_shortage;
 use data_plane::upstream_pool::UpstreamPool;
 use load_balancing::interface::MembershipKind;
 use tokio::net::TcpListener;
@@ -72,7 +73,8 @@
     let listener = TcpListener::bind(config.listen)
         .await
         .map_err(listen_error)?;
-    let (engine, handle, watch) = start_engine(&config)?;
+    let pool = UpstreamPool::new(config.pool_config());
+    let (engine, handle, watch) = start_engine(&config, pool.clone())?;
     let engine = spawn_local(engine.run());
     // Logs the bound address rather than the configured one: with port 0, nothing else shows the actual port.
     let bound = listener.local_addr().map_err(listen_error)?;
@@ -80,7 +82,9 @@
     let _reloads = AbortOnDrop(spawn_local(reload_on_hangup(hangup, watch.address_changes)));
     let api = Rc::new(Api::new(&config, handle));
     let limits = config.listener_limits(api.longest_deadline());
-    let serve = Listener::new(api, limits).serve(listener, async move {
+    let server = Listener::new(api, limits);
+    disconnect_slow_readers_on_shortage(&pool, &server);
+    let serve = server.serve(listener, async move {
         terminate.recv().await;
     });
     tokio::select! {
@@ -98,7 +102,10 @@
 }
 
 /// Creates the engine with the configured settings and upstreams, and starts the watch that updates the upstreams.
-fn start_engine(config: &Config) -> Result<(Engine, EngineHandle, WatchTask), StartError> {
+fn start_engine(
+    config: &Config,
+    pool: Rc<UpstreamPool>,
+) -> Result<(Engine, EngineHandle, WatchTask), StartError> {
     let settings = config.site.to_settings();
     let is_watch_on_demand = settings.membership_by_request;
     let drain_grace = Duration::from_micros(settings.rules.drain_grace.0.max(0) as u64);
@@ -110,7 +117,7 @@
         timer_granularity: Duration::ZERO,
         subscribe: Some(subscribe),
     };
-    let (mut engine, handle) = Engine::new(engine_config, UpstreamPool::new(config.pool_config()));
+    let (mut engine, handle) = Engine::new(engine_config, pool);
     engine.apply_settings(SERVICE, settings)?;
     let names = SiteNames {
         zones: config.site.zones.clone(),
