Read on until a client that sends a refused body can get its response

Up to 64 MiB is now read and discarded, as much as the largest body by default; the limit of half a second stays.

--- a/crates/data-plane/src/listener/connection.rs
+++ b/crates/data-plane/src/listener/connection.rs
@@ -28,9 +28,10 @@
 use crate::client_stream::{MeteredStream, SharedSocket};
 use crate::headers::{ClientResponse, MAX_HEADER_LINES};
 
-/// How long remaining input is read after the last response, up to [`MAX_DRAINED_BYTES`].
+/// How long remaining input is read after the last response, up to `MAX_DRAINED_BYTES`.
 pub(super) const DRAIN_INPUT_TIMEOUT: Duration = Duration::from_millis(500);
-const MAX_DRAINED_BYTES: usize = 4 << 20;
+/// As much as the largest body of the default configuration, so that a client whose body was refused gets its response.
+const MAX_DRAINED_BYTES: usize = 64 << 20;
 /// The minimum buffer size that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
