Read the platform's responses into one buffer

The small HTTP client kept a response in the pieces in which it arrived and then copied it, as request bodies were kept. Found by looking for the same cause on related paths; not measured.

--- a/crates/data-plane/src/http_client.rs
+++ b/crates/data-plane/src/http_client.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -128,8 +129,7 @@
             .or_insert(self.host.clone());
         let response = sender.send_request(request).await;
         let (head, body) = response.map_err(HttpClientError::Http)?.into_parts();
-        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-        let body = body.map_err(|_| HttpClientError::BodyTooLong)?.to_bytes();
+        let body = read_body(body).await?;
         self.idle_connection.replace(Some((sender, connection)));
         Ok(Response::from_parts(head, body))
     }
@@ -151,3 +151,19 @@
         Ok((sender, AbortOnDrop(task)))
     }
 }
+
+/// Reads a complete body into one buffer, so that its memory does not depend on the number of chunks.
+async fn read_body(mut body: Incoming) -> Result<Bytes, HttpClientError> {
+    let mut whole = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| HttpClientError::BodyTooLong)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if whole.len() + data.len() > MAX_RESPONSE_BYTES {
+            return Err(HttpClientError::BodyTooLong);
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.into())
+}
