Share the configuration between the responses to all callers that read it

Each response to Config.Read had a copy of the configuration, kept until its caller had read it: 120 callers who left a configuration of 1 MiB unread held 140 MiB of a control process on a machine of 96.

The responses now share the text with the replicated state.

Measured: unread_configurations_stay_within_memory failed before (140 of 96 MiB), passes now (22).

--- a/crates/control-plane/src/http_api/operator_api.rs
+++ b/crates/control-plane/src/http_api/operator_api.rs
@@ -25,6 +25,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -108,8 +109,18 @@
     }
 }
 
+/// A text that the responses to many callers share.
+struct SharedText(Arc<str>);
+
+impl AsRef<[u8]> for SharedText {
+    fn as_ref(&self) -> &[u8] {
+        self.0.as_bytes()
+    }
+}
+
 impl OperatorApi {
-    /// Handles `Config.Read`, a linearizable read.
+    /// Handles `Config.Read`, a linearizable read. The response shares the configuration with the state, since many
+    /// callers may leave theirs unread.
     async fn read_configuration(&self) -> ClientResponse {
         if !self.server.control_node.has_disk {
             let redirect = self.server.redirect_target().await;
@@ -122,10 +133,8 @@
         if state.revision == 0 {
             return error_response(StatusCode::NOT_FOUND, "no configuration yet");
         }
-        raw_json_response(
-            StatusCode::OK,
-            Bytes::copy_from_slice(state.config.as_bytes()),
-        )
+        let configuration = SharedText(state.config.clone());
+        raw_json_response(StatusCode::OK, Bytes::from_owner(configuration))
     }
 
     /// Handles `Config.Replace` and `Config.Amend`.
--- a/crates/shorefront/tests/uncontrolled_clients/operator_interface.rs
+++ b/crates/shorefront/tests/uncontrolled_clients/operator_interface.rs
@@ -2,11 +2,11 @@
 
 use serde_json::json;
 
-use crate::common::http_client::{get, post};
+use crate::common::http_client::{get, post, replace_config};
 use crate::common::wait_for;
 use crate::crowd::{Crowd, Framing, Upload};
 use crate::machine::check_process;
-use crate::{MANY_FDS, run_alone, start_system, start_upstream};
+use crate::{MANY_FDS, config, run_alone, start_system, start_upstream};
 
 /// The maximum size of a configuration.
 const MAX_CONFIGURATION_BYTES: usize = 8 << 20;
@@ -66,3 +66,32 @@
     let framing = Framing::Chunks(1);
     check_beside_configurations("ctl-tiny", CALLERS_WITH_TINY_CHUNKS, framing, 256 << 10);
 }
+
+/// The size of a configuration that callers read.
+const LARGE_CONFIGURATION_BYTES: usize = 1 << 20;
+/// Calls on one connection: their responses are more than the kernel buffers.
+const CALLS_PER_CONNECTION: usize = 12;
+
+/// Guards against a copy of the configuration for each caller that does not read it.
+#[test]
+fn unread_configurations_stay_within_memory() {
+    let _alone = run_alone();
+    let mut system = start_system("ctl-unread", MANY_FDS, start_upstream());
+    let mut large = config();
+    large["rev"] = json!(7);
+    large["comment"] = json!("x".repeat(LARGE_CONFIGURATION_BYTES));
+    assert_eq!(replace_config(system.ctl, 5, &large), Some(200));
+    let call = "GET /-/Config.Read HTTP/1.1\r\nHost: c\r\n\r\n";
+    let crowd = Crowd::send(
+        system.ctl,
+        120,
+        call.repeat(CALLS_PER_CONNECTION).as_bytes(),
+    );
+    for _ in 0..10 {
+        let read = get(system.ctl, "c", "/-/Config.Read").expect("a response beside the crowd");
+        assert_eq!(read.status, 200);
+        assert!(read.body.len() > LARGE_CONFIGURATION_BYTES);
+    }
+    check_process("the control balancer", system.control(), MANY_FDS);
+    drop(crowd);
+}
