Let request bodies use what connections leave of the memory

So bodies and the buffers of connections (60 KiB each) share what the process, responses, small bodies and an eighth that stays free leave of mem_mb: 139 of 260 MB. The quarter remains as the least. Where bodies use more, the listener accepts fewer connections, and makes room as where no descriptor is left. A handler gives the listener its memory in place of a method to evict.

--- a/crates/control-plane/src/http_api/operator_api.rs
+++ b/crates/control-plane/src/http_api/operator_api.rs
@@ -104,8 +104,8 @@
         }
     }
 
-    fn evict_stalled_request(&self) -> bool {
-        self.request_memory.evict_stalled()
+    fn request_memory(&self) -> Option<&RequestMemory> {
+        Some(&self.request_memory)
     }
 }
 
--- a/crates/data-plane/src/listener.rs
+++ b/crates/data-plane/src/listener.rs
@@ -32,6 +32,7 @@
 use crate::client_connections::{ClientConnections, ClientTimeouts};
 use crate::client_stream::MeteredStream;
 use crate::headers::ClientResponse;
+use crate::request_memory::RequestMemory;
 pub use delivery::{DeliveryReceipt, DeliveryStatus};
 
 /// Additional time after the drain timeout for writing the last responses.
@@ -83,10 +84,9 @@
         stopping: bool,
     ) -> impl Future<Output = ClientResponse>;
 
-    /// Ends a request whose client has stalled before its end, so that another client gets the connection; returns
-    /// false if there is none.
-    fn evict_stalled_request(&self) -> bool {
-        false
+    /// Returns the memory for the bodies of the requests, if the handler receives any.
+    fn request_memory(&self) -> Option<&RequestMemory> {
+        None
     }
 }
 
@@ -172,7 +172,7 @@
     /// Accepts connections and starts a task for each; never returns.
     async fn accept(self: &Rc<Self>, listener: &TcpListener, closing: &watch::Receiver<bool>) {
         loop {
-            if self.connections.is_full() {
+            if self.is_full() {
                 self.make_room().await;
                 continue;
             }
@@ -187,10 +187,25 @@
         }
     }
 
+    /// Reports the number of open connections to the memory for request bodies, with which they share memory.
+    fn report_open_connections(&self) {
+        if let Some(memory) = self.handler.request_memory() {
+            memory.set_open_connections(self.connections.len());
+        }
+    }
+
+    /// Returns whether all slots are occupied, or there is no memory for another connection.
+    fn is_full(&self) -> bool {
+        let memory = self.handler.request_memory();
+        self.connections.is_full()
+            || memory.is_some_and(|memory| self.connections.len() >= memory.max_connections())
+    }
+
     /// Ends a connection or a request that can give way to another client, and waits a moment.
     async fn make_room(&self) {
+        let memory = self.handler.request_memory();
         let is_evicting_request =
-            !self.connections.evict_idle() && self.handler.evict_stalled_request();
+            !self.connections.evict_idle() && memory.is_some_and(RequestMemory::evict_stalled);
         sleep(if is_evicting_request {
             STALLED_BACKOFF
         } else {
@@ -205,6 +220,7 @@
         let (io, socket, traffic) = MeteredStream::new(stream);
         // Registered here rather than in the task, so that it counts before the next connection is accepted.
         let slot = self.connections.register(traffic);
+        self.report_open_connections();
         tokio::task::spawn_local(self.clone().serve_connection(io, socket, slot, closing));
     }
 }
--- a/crates/data-plane/src/listener/connection.rs
+++ b/crates/data-plane/src/listener/connection.rs
@@ -79,6 +79,8 @@
         if let Some(reporter) = reporter {
             reporter.report(status);
         }
+        drop(slot);
+        self.report_open_connections();
     }
 
     /// Serves requests until the connection ends, expires, or is closed with its listener.
--- a/crates/data-plane/src/request_memory.rs
+++ b/crates/data-plane/src/request_memory.rs
@@ -55,10 +55,13 @@
 /// How much memory request bodies may occupy, in bytes.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestMemoryLimits {
-    /// All bodies together, but for the next field.
+    /// All bodies together, but for the next fields.
     pub shared_bytes: usize,
     /// Additional memory for bodies of at most 64 KiB, which large ones can't occupy.
     pub small_body_bytes: usize,
+    /// All bodies and the buffers of all connections together. Bodies may use what connections leave of it, where that is
+    /// more than `shared_bytes`; connections are then limited to what bodies leave.
+    pub bodies_and_connections_bytes: usize,
 }
 
 /// The memory of a machine divided by this is the memory that all request bodies share.
@@ -66,12 +69,32 @@
 /// The memory of a machine divided by this is the memory for small request bodies.
 const SMALL_BODY_MEMORY_DIVISOR: usize = 32;
 
+/// The memory of a machine divided by this is the memory for responses, as in [`crate::runtime`].
+const RESPONSE_MEMORY_DIVISOR: usize = 4;
+/// The memory of a machine divided by this stays free.
+const FREE_MEMORY_DIVISOR: usize = 8;
+/// The memory of a process without any client.
+const PROCESS_BYTES: usize = 16 << 20;
+
 impl RequestMemoryLimits {
-    /// Returns the limits for a process that may use `memory_bytes` bytes.
+    /// Returns the limits for a process that may use `memory_bytes` bytes and holds little else than bodies.
+    pub fn of_data_plane(memory_bytes: usize) -> Self {
+        let others = memory_bytes / RESPONSE_MEMORY_DIVISOR
+            + memory_bytes / SMALL_BODY_MEMORY_DIVISOR
+            + memory_bytes / FREE_MEMORY_DIVISOR
+            + PROCESS_BYTES;
+        Self {
+            bodies_and_connections_bytes: memory_bytes.saturating_sub(others),
+            ..Self::of_machine(memory_bytes)
+        }
+    }
+
+    /// Returns the limits for a process that may use `memory_bytes` bytes and needs most of them for other purposes.
     pub fn of_machine(memory_bytes: usize) -> Self {
         Self {
             shared_bytes: memory_bytes / SHARED_MEMORY_DIVISOR,
             small_body_bytes: memory_bytes / SMALL_BODY_MEMORY_DIVISOR,
+            bodies_and_connections_bytes: 0,
         }
     }
 }
@@ -167,6 +190,16 @@
         }
     }
 
+    /// Sets how many client connections are open.
+    pub fn set_open_connections(&self, connections: usize) {
+        self.budget.set_open_connections(connections);
+    }
+
+    /// Returns how many client connections the memory allows.
+    pub fn max_connections(&self) -> usize {
+        self.budget.max_connections()
+    }
+
     /// Evicts the incomplete body whose client has stalled longest, since its connection is needed; returns false if
     /// none has stalled.
     pub fn evict_stalled(&self) -> bool {
--- a/crates/data-plane/src/request_memory/budget.rs
+++ b/crates/data-plane/src/request_memory/budget.rs
@@ -2,6 +2,9 @@
 //!
 //! Two pools: one for all bodies, and one that only small bodies may use, so that large ones can't occupy everything. A
 //! small body uses its own pool first. A body that grows beyond [`SMALL_BODY_BYTES`] moves to the shared pool.
+//!
+//! The shared pool is larger while few connections are open. Connections and bodies together keep to
+//! [`RequestMemoryLimits::bodies_and_connections_bytes`]: a larger pool allows fewer connections.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -11,6 +14,9 @@
 /// The largest body that may use the pool for small bodies.
 pub(super) const SMALL_BODY_BYTES: usize = 64 << 10;
 
+/// The buffers of one client connection: its heads, those of the HTTP library, and input that was read ahead.
+const CONNECTION_BYTES: usize = 60 << 10;
+
 /// Where the memory of a body is reserved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Pool {
@@ -25,6 +31,7 @@
     limits: RequestMemoryLimits,
     shared_bytes: Cell<usize>,
     small_bytes: Cell<usize>,
+    open_connections: Cell<usize>,
 }
 
 impl Budget {
@@ -33,9 +40,32 @@
             limits,
             shared_bytes: Cell::new(0),
             small_bytes: Cell::new(0),
+            open_connections: Cell::new(0),
         }
     }
 
+    pub(super) fn set_open_connections(&self, connections: usize) {
+        self.open_connections.set(connections);
+    }
+
+    /// Returns how many connections may be open beside the bodies.
+    pub(super) fn max_connections(&self) -> usize {
+        let shared_bytes = self.shared_bytes.get();
+        if shared_bytes <= self.limits.shared_bytes {
+            return usize::MAX;
+        }
+        let left = self.limits.bodies_and_connections_bytes;
+        left.saturating_sub(shared_bytes) / CONNECTION_BYTES
+    }
+
+    /// Returns how many bytes the shared pool has beside the connections.
+    fn max_shared_bytes(&self) -> usize {
+        let connection_bytes = self.open_connections.get() * CONNECTION_BYTES;
+        let left = self.limits.bodies_and_connections_bytes;
+        left.saturating_sub(connection_bytes)
+            .max(self.limits.shared_bytes)
+    }
+
     /// Returns how many bytes are reserved in both pools.
     #[cfg(test)]
     pub(super) fn reserved_bytes(&self) -> usize {
@@ -45,7 +75,7 @@
     fn reserved(&self, pool: Pool) -> (&Cell<usize>, usize) {
         match pool {
             Pool::Small => (&self.small_bytes, self.limits.small_body_bytes),
-            Pool::Shared => (&self.shared_bytes, self.limits.shared_bytes),
+            Pool::Shared => (&self.shared_bytes, self.max_shared_bytes()),
         }
     }
 
--- a/crates/data-plane/src/request_memory/tests.rs
+++ b/crates/data-plane/src/request_memory/tests.rs
@@ -12,6 +12,7 @@
 const LIMITS: RequestMemoryLimits = RequestMemoryLimits {
     shared_bytes: 3 << 20,
     small_body_bytes: 64 << 10,
+    bodies_and_connections_bytes: 0,
 };
 const MAX_BYTES: usize = 8 << 20;
 
@@ -118,3 +119,23 @@
     assert!(second.body.is_evicted.get() && !first.body.is_evicted.get());
     assert!(!memory.evict_stalled(), "the other one has just sent data");
 }
+
+/// Guards against a limit that bodies meet in calm, and against memory that bodies and connections use twice.
+#[tokio::test(start_paused = true)]
+async fn bodies_and_connections_share_what_the_others_leave() {
+    const CONNECTIONS_BESIDE_FIVE_MIB: usize = 10;
+    let memory = RequestMemory::new(RequestMemoryLimits {
+        bodies_and_connections_bytes: (5 << 20) + CONNECTIONS_BESIDE_FIVE_MIB * (60 << 10),
+        ..LIMITS
+    });
+    assert_eq!(memory.max_connections(), usize::MAX);
+    memory.set_open_connections(CONNECTIONS_BESIDE_FIVE_MIB);
+    let body = start(&memory, (5 << 20) - SMALL_BODY_BYTES);
+    let connections = memory.max_connections();
+    assert!((10..=11).contains(&connections), "{connections}");
+    assert_eq!(append(&memory, &body, 1 << 20), Err(ReceiveError::NoMemory));
+    drop(body);
+    assert_eq!(memory.max_connections(), usize::MAX);
+    memory.set_open_connections(1000);
+    drop(start(&memory, (3 << 20) - SMALL_BODY_BYTES));
+}
--- a/crates/data-plane/src/routes.rs
+++ b/crates/data-plane/src/routes.rs
@@ -119,7 +119,7 @@
         engine: EngineHandle,
         on_limits: Box<dyn Fn(&RequestLimits)>,
     ) -> Rc<Self> {
-        let memory_limits = RequestMemoryLimits::of_machine(settings.limits.mem_mb << 20);
+        let memory_limits = RequestMemoryLimits::of_data_plane(settings.limits.mem_mb << 20);
         let request_memory = RequestMemory::new(memory_limits);
         let metrics = Metrics::new(engine.abandoned_attempts(), &request_memory);
         Rc::new(Self {
--- a/crates/data-plane/src/routes/request.rs
+++ b/crates/data-plane/src/routes/request.rs
@@ -19,7 +19,7 @@
 };
 use crate::listener::RequestHandler;
 use crate::metrics::RequestOutcome;
-use crate::request_memory::ReceiveError;
+use crate::request_memory::{ReceiveError, RequestMemory};
 use crate::upstream_pool::ForwardedRequest;
 
 /// The `Retry-After` of a request that is refused for lack of a configuration or of memory for its body. Long enough
@@ -129,8 +129,8 @@
         response
     }
 
-    fn evict_stalled_request(&self) -> bool {
-        self.request_memory.evict_stalled()
+    fn request_memory(&self) -> Option<&RequestMemory> {
+        Some(&self.request_memory)
     }
 }
 
--- a/crates/standalone-proxy/src/api/mod.rs
+++ b/crates/standalone-proxy/src/api/mod.rs
@@ -68,6 +68,7 @@
                 // All bodies are small.
                 shared_bytes: 0,
                 small_body_bytes: config.max_memory_bytes / BODY_MEMORY_DIVISOR,
+                bodies_and_connections_bytes: 0,
             }),
         }
     }
@@ -227,7 +228,7 @@
         }
         response
     }
-    fn evict_stalled_request(&self) -> bool {
-        self.request_memory.evict_stalled()
+    fn request_memory(&self) -> Option<&RequestMemory> {
+        Some(&self.request_memory)
     }
 }
