--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -3,10 +3,12 @@
 //! Modules, in the order in which a request passes through them:
 //!
 //! 1. [`listener`] accepts connections ([`client_connections`], [`client_stream`]) and reads requests.
-//! 2. [`routes`] classifies a request and determines which parts of it are forwarded ([`headers`], [`body`]).
+//! 2. [`routes`] classifies a request and determines which parts of it are forwarded ([`headers`]); [`request_memory`]
+//!    receives its body ([`request_body`]).
 //! 3. [`engine`] passes events to the balancers of the `load-balancing` crate, one per service, and carries out their
 //!    decisions.
-//! 4. [`upstream_pool`] makes the attempts, each of which is an exchange on an [`upstream_connection`].
+//! 4. [`upstream_pool`] makes the attempts, each of which is an exchange on an [`upstream_connection`] and yields a
+//!    response ([`body`]).
 //!
 //! In addition, [`control_client`] receives updates from the control plane, [`metrics`] collects metrics, and
 //! [`runtime`] assembles the process. Everything runs on one thread; only the engine accesses the balancers.
@@ -16,7 +18,7 @@
 //! balancer" is the process, one of a fleet of data-plane balancers.
 //!
 //! **Guarantees.** Every request that was read completely gets one final response. A request that may run only once is
-//! not sent again after it may have run. Memory for responses to slow clients is bounded.
+//! not sent again after it may have run. Memory for the bodies of requests and of responses is bounded.
 //!
 //! **Failures.** Requests that are still open at the end of the shutdown period are lost with the process. Nothing is
 //! stored. Without the control plane, the last received configuration stays in use; it is never replaced by an older
