Use the usual terms for eviction in code, metric and tests

Comments said who gives way; the term of the field is eviction. The label of bodies that were evicted for another one is Preempted. The tests call their clients a group.

--- a/crates/data-plane/src/client_connections.rs
+++ b/crates/data-plane/src/client_connections.rs
@@ -122,8 +122,7 @@
     }
 
     /// Evicts one connection without an open request: the one that has waited longest for a request head or to be
-    /// closed, else the one whose client has left its response unread longest, or else the one that has been idle
-    /// longest. Otherwise hundreds of silent connections could occupy all slots and lock out every other client. Returns
+    /// closed, else the one that has waited longest for its client to read, or else the one that has been idle longest. Otherwise hundreds of silent connections could occupy all slots and lock out every other client. Returns
     /// false if there is none.
     pub fn evict_idle(&self) -> bool {
         let now = Instant::now();
@@ -138,9 +137,9 @@
         longest.is_some()
     }
 
-    /// Evicts the connection whose client has had its response longest without reading it, if that is long enough, since
-    /// the memory of the response is needed. Evicts only one at a time. Returns whether any client has left a response
-    /// unread, so that memory may be released soon.
+    /// Evicts the connection with the oldest unread response, if it is old enough, because the memory of the response is
+    /// needed. Evicts only one connection at a time. Returns whether there is an unread response, so that memory may be
+    /// released soon.
     pub fn evict_slow_reader(&self) -> bool {
         let open = self.open.borrow();
         if open.values().any(|c| c.is_evicted_slow_reader()) {
--- a/crates/data-plane/src/listener.rs
+++ b/crates/data-plane/src/listener.rs
@@ -124,8 +124,8 @@
         self.connections.set_timeouts(timeouts);
     }
 
-    /// Disconnects the client that has left its response unread longest, if that is long enough. Returns whether any has,
-    /// so that the memory of a response may be released soon.
+    /// Evicts the connection with the oldest unread response, if it is old enough. Returns whether there is an unread
+    /// response, so that its memory may be released soon.
     pub fn evict_slow_reader(&self) -> bool {
         self.connections.evict_slow_reader()
     }
@@ -201,7 +201,7 @@
             || memory.is_some_and(|memory| self.connections.len() >= memory.max_connections())
     }
 
-    /// Ends a connection or a request that can give way to another client, and waits a moment.
+    /// Evicts a connection or an incomplete request for another client, and waits a moment.
     async fn make_room(&self) {
         let memory = self.handler.request_memory();
         let is_evicting_request =
--- a/crates/data-plane/src/request_body.rs
+++ b/crates/data-plane/src/request_body.rs
@@ -1,16 +1,16 @@
 //! The body of a client's request, in segments.
 //!
-//! A body grows by whole segments, which are never copied or moved: its memory is that of its bytes and at most one
-//! segment more, however it was divided into chunks on the way.
+//! A body grows by whole segments, so a large body is never copied. It occupies at most one segment more than its length,
+//! regardless of the number of chunks in which it arrived.
 
 use std::io::IoSlice;
 
 use crate::request_memory::MemoryReservation;
 
-/// The capacity of each segment but the last.
+/// The capacity of each segment except the last.
 pub(crate) const SEGMENT_BYTES: usize = 64 << 10;
-/// The first capacity of a segment whose final length is unknown or large. Small bodies need no more, and a client that
-/// only announces a large body occupies little.
+/// The initial capacity of the first segment if the length is unknown or large. Small bodies need no more, and a large
+/// body that is only announced occupies little.
 const INITIAL_SEGMENT_BYTES: usize = 8 << 10;
 
 /// A complete request body. Keeps its memory reserved until it is dropped.
@@ -46,7 +46,7 @@
         (whole, self.reservation)
     }
 
-    /// Writes the first parts of the body behind the first `skipped` bytes into `slices`, as many as fit.
+    /// Fills `slices` with the parts of the body that follow the first `skipped` bytes, as many as fit.
     pub(crate) fn fill_slices<'a>(&'a self, mut skipped: usize, slices: &mut [IoSlice<'a>]) {
         let mut free = slices.iter_mut();
         for segment in &self.segments {
--- a/crates/data-plane/src/request_memory.rs
+++ b/crates/data-plane/src/request_memory.rs
@@ -1,18 +1,18 @@
-//! Memory for the bodies of requests, from their first byte until the request has its response, and who gives way when
-//! it runs short.
+//! Memory for the bodies of requests, from their first byte until the request has its response, and eviction of incomplete
+//! bodies when the memory is exhausted.
 //!
 //! - `budget`: how much memory there is, and how much of it each body has reserved.
-//! - `eviction`: which body gives way.
+//! - `eviction`: which body is evicted.
 //! - `metrics`: how often that happened.
 //!
-//! **State.** The reserved bytes, and a table of the bodies that are being received. What has arrived of a body is in
-//! the table, so that an eviction frees its memory at once.
+//! **State.** The reserved bytes, and a table of the bodies that are being received. The table contains the received
+//! bytes, so that an eviction frees their memory immediately.
 //!
 //! **Guarantees.** Memory is reserved before it is allocated, and only for bytes that arrive, not for those that a head
-//! announces. A body in many small chunks takes no more than one in few. An incomplete body gives way to others; its
-//! request has not been forwarded and never will be. A complete body is never evicted.
+//! announces. The memory of a body does not depend on the number of its chunks. Only incomplete bodies are evicted; their
+//! requests have not been forwarded and never will be.
 //!
-//! **Failures.** A body for which there is no memory, or that gave way, ends with [`ReceiveError::NoMemory`].
+//! **Failures.** A body that is refused or evicted ends with [`ReceiveError::NoMemory`].
 
 mod budget;
 mod eviction;
@@ -47,7 +47,7 @@
     /// The body is malformed, or its client has disconnected.
     #[error("the body is malformed or was cut short")]
     Malformed,
-    /// The memory for request bodies is exhausted. The body was refused, or has given way to another one.
+    /// The memory for request bodies is exhausted, and the body was refused or evicted.
     #[error("no memory for the body")]
     NoMemory,
 }
@@ -55,16 +55,16 @@
 /// How much memory request bodies may occupy, in bytes.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestMemoryLimits {
-    /// All bodies together, but for the next fields.
+    /// The maximum for all bodies together, in addition to the next fields.
     pub shared_bytes: usize,
     /// Additional memory for bodies of at most 64 KiB, which large ones can't occupy.
     pub small_body_bytes: usize,
-    /// All bodies and the buffers of all connections together. Bodies may use what connections leave of it, where that is
-    /// more than `shared_bytes`; connections are then limited to what bodies leave.
+    /// The maximum for all bodies and the buffers of all connections together. While few connections are open, bodies may
+    /// exceed `shared_bytes` up to this maximum; the number of connections is then limited accordingly.
     pub bodies_and_connections_bytes: usize,
 }
 
-/// The memory of a machine divided by this is the memory that all request bodies share.
+/// The memory of a machine divided by this is the minimum that all request bodies share.
 const SHARED_MEMORY_DIVISOR: usize = 4;
 /// The memory of a machine divided by this is the memory for small request bodies.
 const SMALL_BODY_MEMORY_DIVISOR: usize = 32;
@@ -116,7 +116,7 @@
     evicted: Notify,
 }
 
-/// What has arrived of a body, and the memory that it occupies.
+/// The received bytes of a body, and the memory that they occupy.
 struct Content {
     buffer: SegmentedBuffer,
     reservation: MemoryReservation,
@@ -200,8 +200,8 @@
         self.budget.max_connections()
     }
 
-    /// Evicts the incomplete body whose client has stalled longest, since its connection is needed; returns false if
-    /// none has stalled.
+    /// Evicts the incomplete body that has stalled longest, because its connection is needed; returns false if none has
+    /// stalled.
     pub fn evict_stalled(&self) -> bool {
         let Some(id) = choose_longest_stalled(&self.candidates(None), Instant::now()) else {
             return false;
@@ -271,12 +271,12 @@
                 self.evictions.count(EvictionReason::NoMemory);
                 return Err(ReceiveError::NoMemory);
             };
-            self.evictions.count(EvictionReason::GaveWay);
+            self.evictions.count(EvictionReason::Preempted);
             self.evict(victim);
         }
     }
 
-    /// Returns the incomplete bodies that may give way, all but the one with the id `excluded`.
+    /// Returns the incomplete bodies that may be evicted, except the one with the id `excluded`.
     fn candidates(&self, excluded: Option<u64>) -> Vec<Candidate> {
         let receiving = self.receiving.borrow();
         let others = receiving
@@ -307,7 +307,7 @@
 }
 
 impl IncompleteBody {
-    /// Takes what has arrived, with its reservation.
+    /// Takes the received bytes with their reservation.
     fn take_content(&self) -> Content {
         let content = &mut *self.content.borrow_mut();
         let reservation = content.reservation.take();
--- a/crates/data-plane/src/request_memory/budget.rs
+++ b/crates/data-plane/src/request_memory/budget.rs
@@ -1,6 +1,7 @@
-//! How much memory request bodies may occupy, and how much of it each has reserved.
+//! The limits of the memory for request bodies, and the reservations of the bodies.
 //!
-//! Two pools: one for all bodies, and one that only small bodies may use, so that large ones can't occupy everything. A
+//! There are two pools: one for all bodies, and one that only small bodies may use, so that large ones can't occupy
+//! everything. A
 //! small body uses its own pool first. A body that grows beyond [`SMALL_BODY_BYTES`] moves to the shared pool.
 //!
 //! The shared pool is larger while few connections are open. Connections and bodies together keep to
--- a/crates/data-plane/src/request_memory/metrics.rs
+++ b/crates/data-plane/src/request_memory/metrics.rs
@@ -1,4 +1,4 @@
-//! Counts request bodies that had to give way, by reason.
+//! Counts request bodies that were refused or evicted, by reason.
 
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
@@ -8,10 +8,10 @@
 /// Why a body was not received. The variant names are exported as label values.
 #[derive(Clone, Copy, Debug, Hash, PartialEq, Eq, EncodeLabelValue)]
 pub(super) enum EvictionReason {
-    /// There was no memory for it, and no other body to give way.
+    /// There was no memory for it, and no other body could be evicted.
     NoMemory,
-    /// It gave way to another body.
-    GaveWay,
+    /// It was evicted because another body needed its memory.
+    Preempted,
     /// Its client had stalled, and its connection was needed.
     Stalled,
 }
@@ -19,7 +19,7 @@
 /// All reasons.
 const REASONS: [EvictionReason; 3] = [
     EvictionReason::NoMemory,
-    EvictionReason::GaveWay,
+    EvictionReason::Preempted,
     EvictionReason::Stalled,
 ];
 
@@ -44,7 +44,7 @@
             // Shown before it has happened.
             drop(self.0.get_or_create(&Labels { reason }));
         }
-        let help = "Request bodies that were refused or gave way for lack of memory or connections";
+        let help = "Request bodies that were refused or evicted for lack of memory or connections";
         registry.register("evicted_request_bodies", help, self.0.clone());
     }
 
--- a/crates/data-plane/src/request_memory/tests.rs
+++ b/crates/data-plane/src/request_memory/tests.rs
@@ -65,7 +65,7 @@
     assert!(!medium.body.is_evicted.get());
     append(&memory, &medium, 3 << 19).expect("a larger one gives way");
     assert!(large.body.is_evicted.get() && !medium.body.is_evicted.get());
-    assert_eq!(memory.evictions.get(EvictionReason::GaveWay), 1);
+    assert_eq!(memory.evictions.get(EvictionReason::Preempted), 1);
     assert_eq!(memory.evictions.get(EvictionReason::NoMemory), 1);
 }
 
--- a/crates/shorefront/tests/uncontrolled_clients/crowd.rs
+++ b/crates/shorefront/tests/uncontrolled_clients/client_group.rs
@@ -8,11 +8,11 @@
 
 use crate::common::http_client::connect;
 
-/// Time limit for a crowd, whose requests take long to read on a busy machine.
-pub(crate) const CROWD_LIMIT: Duration = Duration::from_secs(180);
-/// Of a crowd that stops short, one in so many clients sends its request completely.
+/// Time limit for a group, whose requests take long to read on a busy machine.
+pub(crate) const GROUP_LIMIT: Duration = Duration::from_secs(180);
+/// Of a group that stops short, one in so many clients sends its request completely.
 const COMPLETE_EVERY: usize = 8;
-/// Interval between two checks whether a crowd's bytes were read.
+/// Interval between two checks whether a group's bytes were read.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// How a body is framed.
@@ -81,7 +81,7 @@
 /// Sends these bytes on a new connection. The balancer may refuse them at any time.
 fn send(at: SocketAddr, head: &[u8], body: &[u8]) -> Option<TcpStream> {
     let mut stream = connect(at).ok()?;
-    stream.set_write_timeout(Some(CROWD_LIMIT)).ok()?;
+    stream.set_write_timeout(Some(GROUP_LIMIT)).ok()?;
     let _ = stream.write_all(head).and_then(|()| stream.write_all(body));
     Some(stream)
 }
@@ -98,9 +98,9 @@
 }
 
 /// Connections that stay open while this value exists, by the number of their client.
-pub(crate) struct Crowd(Vec<TcpStream>);
+pub(crate) struct ClientGroup(Vec<TcpStream>);
 
-impl Crowd {
+impl ClientGroup {
     /// Sends these bytes on so many connections at once, and returns when each client has sent all that the balancer
     /// takes.
     pub(crate) fn send(at: SocketAddr, clients: usize, bytes: &[u8]) -> Self {
@@ -115,7 +115,7 @@
             ..upload.clone()
         };
         let (stopping_body, complete_body) = (upload.encode_body(), complete.encode_body());
-        let crowd = Self::send_each(clients, |client| {
+        let group = Self::send_each(clients, |client| {
             let is_complete = client % COMPLETE_EVERY == 0;
             let body = if is_complete {
                 &complete_body
@@ -125,7 +125,7 @@
             send(at, &upload.encode_head(client), body)
         });
         wait_until_read(at);
-        crowd
+        group
     }
 
     fn send_each(
@@ -163,8 +163,8 @@
     let started = Instant::now();
     while has_unread_bytes(at) {
         assert!(
-            started.elapsed() < CROWD_LIMIT,
-            "the crowd's bytes were not read within {CROWD_LIMIT:?}"
+            started.elapsed() < GROUP_LIMIT,
+            "the group's bytes were not read within {GROUP_LIMIT:?}"
         );
         thread::sleep(POLL_INTERVAL);
     }
--- a/crates/shorefront/tests/uncontrolled_clients/main.rs
+++ b/crates/shorefront/tests/uncontrolled_clients/main.rs
@@ -1,12 +1,12 @@
 //! Processes in front of clients that nobody controls. Whatever these send, hold back or leave unread: no process ends,
 //! none exceeds the memory or the descriptors of its machine, and an ordinary request beside them is answered.
 //!
-//! The machines are small, so that a small crowd suffices. Nothing here depends on the speed of the machine. The tests
+//! The machines are small, so that a small group of clients suffices. Nothing here depends on the speed of the machine. The tests
 //! run one at a time, since each keeps the processor busy.
 
+mod client_group;
 #[path = "../common/mod.rs"]
 mod common;
-mod crowd;
 mod machine;
 mod operator_interface;
 #[path = "../whole_path/system.rs"]
@@ -21,9 +21,11 @@
 
 use serde_json::{Value, json};
 
+use crate::client_group::{
+    ClientGroup, Framing, GROUP_LIMIT, Refusal, Upload, exchange, send_upload,
+};
 use crate::common::mock_server::start_body_reading_server;
 use crate::common::{WAIT_LIMIT, instance, wait_for};
-use crate::crowd::{CROWD_LIMIT, Crowd, Framing, Refusal, Upload, exchange, send_upload};
 use crate::machine::{check_process, limits};
 use crate::system::System;
 
@@ -31,7 +33,7 @@
 const MAX_BODY_BYTES: usize = 8 << 20;
 /// The size of a large response: less than the 1 MiB that a balancer accepts.
 const LARGE_RESPONSE_BYTES: usize = 1_000_000;
-/// Descriptors of a machine that leave room for all connections of a crowd.
+/// Descriptors of a machine that leave room for all connections of a group.
 const MANY_FDS: usize = 1024;
 /// Descriptors of a machine that leave room for 18 client connections.
 const FEW_FDS: usize = 300;
@@ -56,7 +58,7 @@
 }
 
 fn describe_body(bytes: usize) -> String {
-    describe((0..bytes).map(crowd::body_byte))
+    describe((0..bytes).map(client_group::body_byte))
 }
 
 /// Starts an upstream that responds with what it has received, or with a large body where the path asks for one.
@@ -131,23 +133,23 @@
         assert_eq!(
             response,
             Some((200, expected)),
-            "an ordinary request in {:?} beside the crowd",
+            "an ordinary request in {:?} beside the group",
             request.framing
         );
     }
     check_process("the balancer", &mut system.data_plane, max_fds);
 }
 
-/// Lets a crowd send bodies of which most stop just short of their end, and checks the balancer while they stay open.
+/// Lets a group send bodies of which most stop just short of their end, and checks the balancer while they stay open.
 fn check_beside_uploads(name: &str, clients: usize, upload: &Upload) {
     let _alone = run_alone();
     let ids = Arc::new(Mutex::new(HashSet::new()));
     let mut system = start_system(name, MANY_FDS, start_recording_upstream(ids.clone()));
-    let crowd = Crowd::upload(system.http, clients, upload);
+    let group = ClientGroup::upload(system.http, clients, upload);
     check_balancer(&mut system, MANY_FDS);
-    let refusals = crowd.refusals();
+    let refusals = group.refusals();
     println!("{} of {clients} requests were refused", refusals.len());
-    drop(crowd);
+    drop(group);
     check_balancer(&mut system, MANY_FDS);
     for Refusal { client, head } in refusals {
         let has_run = ids.lock().expect("whole").contains(&client.to_string());
@@ -279,9 +281,9 @@
 fn check_beside_full_connections(name: &str, bytes: &[u8]) {
     let _alone = run_alone();
     let mut system = start_system(name, FEW_FDS, start_upstream());
-    let crowd = Crowd::send(system.http, CLIENTS_FOR_FEW_FDS, bytes);
+    let group = ClientGroup::send(system.http, CLIENTS_FOR_FEW_FDS, bytes);
     check_balancer(&mut system, FEW_FDS);
-    drop(crowd);
+    drop(group);
     check_balancer(&mut system, FEW_FDS);
 }
 
@@ -290,7 +292,7 @@
 fn unread_responses_leave_memory_to_others() {
     let _alone = run_alone();
     let mut system = start_system("responses", MANY_FDS, start_upstream());
-    let crowd = Crowd::send(system.http, 40, &large_requests());
+    let group = ClientGroup::send(system.http, 40, &large_requests());
     // Without this, the first checks might come before the responses occupy the memory.
     std::thread::sleep(Duration::from_secs(2));
     check_balancer(&mut system, MANY_FDS);
@@ -303,9 +305,9 @@
     assert_eq!(
         (status, bytes),
         (200, LARGE_RESPONSE_BYTES),
-        "a large response beside the crowd"
+        "a large response beside the group"
     );
-    drop(crowd);
+    drop(group);
     check_balancer(&mut system, MANY_FDS);
 }
 
@@ -319,7 +321,7 @@
         Framing::Chunks(64 << 10),
         Framing::Chunks(1),
     ] {
-        let response = exchange(system.http, &upload(framing, MAX_BODY_BYTES), CROWD_LIMIT);
+        let response = exchange(system.http, &upload(framing, MAX_BODY_BYTES), GROUP_LIMIT);
         let expected = describe_body(MAX_BODY_BYTES);
         assert_eq!(response, Some((200, expected)), "{framing:?}");
         check_process("the balancer", &mut system.data_plane, MANY_FDS);
--- a/crates/shorefront/tests/uncontrolled_clients/operator_interface.rs
+++ b/crates/shorefront/tests/uncontrolled_clients/operator_interface.rs
@@ -1,21 +1,21 @@
-//! Crowds at the interface for operators.
+//! ClientGroups at the interface for operators.
 
 use serde_json::json;
 
+use crate::client_group::{ClientGroup, Framing, Upload};
 use crate::common::http_client::{get, post, replace_config};
 use crate::common::wait_for;
-use crate::crowd::{Crowd, Framing, Upload};
 use crate::machine::check_process;
 use crate::{MANY_FDS, config, run_alone, start_system, start_upstream};
 
 /// The maximum size of a configuration.
 const MAX_CONFIGURATION_BYTES: usize = 8 << 20;
-/// The callers in a crowd.
+/// The callers in a group.
 const CALLERS: usize = 32;
-/// The callers in a crowd that sends tiny chunks.
+/// The callers in a group that sends tiny chunks.
 const CALLERS_WITH_TINY_CHUNKS: usize = 16;
 
-/// Lets a crowd send configurations of which most stop just short of their end, and checks the control balancer while
+/// Lets a group send configurations of which most stop just short of their end, and checks the control balancer while
 /// they stay open: it lives within its limits, and one ordinary call of each kind succeeds.
 fn check_beside_configurations(name: &str, callers: usize, framing: Framing, body_bytes: usize) {
     let _alone = run_alone();
@@ -29,12 +29,12 @@
             Framing::Chunks(bytes) => bytes,
         },
     };
-    let crowd = Crowd::upload(system.ctl, callers, &upload);
+    let group = ClientGroup::upload(system.ctl, callers, &upload);
     check_process("the control balancer", system.control(), MANY_FDS);
     let amendment = json!({"rev": 7, "upsert": {}, "remove": {}});
     let status = post(system.ctl, "/-/Config.Amend", 5, &amendment).map(|r| r.status);
-    assert_eq!(status, Some(200), "an amendment beside the crowd");
-    drop(crowd);
+    assert_eq!(status, Some(200), "an amendment beside the group");
+    drop(group);
     let revision = wait_for("the configuration", || {
         get(system.ctl, "c", "/-/Config.Read").filter(|response| response.status == 200)
     });
@@ -82,16 +82,16 @@
     large["comment"] = json!("x".repeat(LARGE_CONFIGURATION_BYTES));
     assert_eq!(replace_config(system.ctl, 5, &large), Some(200));
     let call = "GET /-/Config.Read HTTP/1.1\r\nHost: c\r\n\r\n";
-    let crowd = Crowd::send(
+    let group = ClientGroup::send(
         system.ctl,
         120,
         call.repeat(CALLS_PER_CONNECTION).as_bytes(),
     );
     for _ in 0..10 {
-        let read = get(system.ctl, "c", "/-/Config.Read").expect("a response beside the crowd");
+        let read = get(system.ctl, "c", "/-/Config.Read").expect("a response beside the group");
         assert_eq!(read.status, 200);
         assert!(read.body.len() > LARGE_CONFIGURATION_BYTES);
     }
     check_process("the control balancer", system.control(), MANY_FDS);
-    drop(crowd);
+    drop(group);
 }
--- a/crates/standalone-proxy/tests/memory/main.rs
+++ b/crates/standalone-proxy/tests/memory/main.rs
@@ -12,10 +12,10 @@
 const MACHINE_MEMORY_MB: usize = 32;
 /// The maximum size of a body.
 const MAX_BODY_BYTES: usize = 64 << 10;
-/// The clients of a crowd, whose bodies need more than all memory for bodies.
+/// The clients of a group, whose bodies need more than all memory for bodies.
 const CLIENTS: usize = 80;
-/// The crowds that come one after another: each ends after the time that a body may take.
-const CROWDS: usize = 4;
+/// The groups that come one after another: each ends after the time that a body may take.
+const GROUPS: usize = 4;
 
 /// Returns the most resident memory that the proxy has ever had, in MiB.
 fn peak_resident_mb(proxy: &Proxy) -> usize {
@@ -35,18 +35,18 @@
     let mut settings = config(&serving_entries(&[&upstream]));
     settings["limits"]["memory_mb"] = json!(MACHINE_MEMORY_MB);
     let mut proxy = Proxy::start(&settings);
-    let mut crowd = Vec::new();
-    for number in 0..CROWDS {
+    let mut group = Vec::new();
+    for number in 0..GROUPS {
         for client in 0..CLIENTS {
             let id = format!("stalled-{number}-{client}");
             let request = unsafe_request(&id, 5000, &"x".repeat(MAX_BODY_BYTES));
             let mut client = Client::to(proxy.address);
             client.send(&request[..request.len() - 1]);
-            crowd.push(client);
+            group.push(client);
         }
         let ordinary = unsafe_request(&format!("ordinary-{number}"), 5000, "body");
         let response = proxy.client().request(&ordinary);
-        assert_eq!(response.status(), 200, "beside crowd {number}");
+        assert_eq!(response.status(), 200, "beside group {number}");
     }
     let ended = proxy.child.try_wait().expect("a child");
     assert!(ended.is_none(), "the proxy has ended: {ended:?}");
