--- a/crates/data-plane/src/request_memory/budget.rs
+++ b/crates/data-plane/src/request_memory/budget.rs
@@ -18,6 +18,10 @@
 /// The buffers of one client connection: its heads, those of the HTTP library, and input that was read ahead.
 const CONNECTION_BYTES: usize = 60 << 10;
 
+/// The number of connections for which bodies always leave memory. Without it, a few complete large bodies, which can't be
+/// evicted, would keep other clients from connecting.
+const MIN_CONNECTIONS: usize = 256;
+
 /// Where the memory of a body is reserved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Pool {
@@ -61,9 +65,9 @@
 
     /// Returns how many bytes the shared pool has beside the connections.
     fn max_shared_bytes(&self) -> usize {
-        let connection_bytes = self.open_connections.get() * CONNECTION_BYTES;
+        let connections = self.open_connections.get().max(MIN_CONNECTIONS);
         let left = self.limits.bodies_and_connections_bytes;
-        left.saturating_sub(connection_bytes)
+        left.saturating_sub(connections * CONNECTION_BYTES)
             .max(self.limits.shared_bytes)
     }
 
--- a/crates/data-plane/src/request_memory/tests.rs
+++ b/crates/data-plane/src/request_memory/tests.rs
@@ -123,16 +123,20 @@
 /// Guards against a limit that bodies meet in calm, and against memory that bodies and connections use twice.
 #[tokio::test(start_paused = true)]
 async fn bodies_and_connections_share_what_the_others_leave() {
-    const CONNECTIONS_BESIDE_FIVE_MIB: usize = 10;
+    const CONNECTIONS_BESIDE_FIVE_MIB: usize = 300;
     let memory = RequestMemory::new(RequestMemoryLimits {
         bodies_and_connections_bytes: (5 << 20) + CONNECTIONS_BESIDE_FIVE_MIB * (60 << 10),
         ..LIMITS
     });
     assert_eq!(memory.max_connections(), usize::MAX);
+    let largest = start(&memory, 5 << 20);
+    while append(&memory, &largest, SMALL_BODY_BYTES).is_ok() {}
+    assert!(memory.max_connections() >= 256, "for other clients");
+    drop(largest);
     memory.set_open_connections(CONNECTIONS_BESIDE_FIVE_MIB);
     let body = start(&memory, (5 << 20) - SMALL_BODY_BYTES);
     let connections = memory.max_connections();
-    assert!((10..=11).contains(&connections), "{connections}");
+    assert!((300..=301).contains(&connections), "{connections}");
     assert_eq!(append(&memory, &body, 1 << 20), Err(ReceiveError::NoMemory));
     drop(body);
     assert_eq!(memory.max_connections(), usize::MAX);
