Evict the slowest client where no connection is left, however it trickles

What callers saw: beside 200 clients that send a chunk of one byte each 200 ms, on a machine with 18 connections, ordinary requests got no answer within 30 s; nor did operators; nor anybody beside clients that read 512 bytes each 200 ms.

Cause: only a client that had made no progress for a fixed time gave way (250 ms for a body, 5 s for a response), so one that made a little within each such time kept its connection up to its deadline. The listener stopped accepting, its queue of 128 filled up, and the system dropped the SYNs of others.

Change: bodies give way by their rate over the last 2 s, the slowest first, below 512 bytes a second or after 1 s without a byte (slow clients with pauses of 250 ms to 1 s were evicted before and are spared now); unread responses below 256 bytes a second on average, or after 5 s. As no fixed threshold suffices, the patience with clients halves each 500 ms in which a full listener can evict nobody, and recovers when nobody waits. Bodies that trickle also count as stalled where memory for bodies is short. Up to 1,024 clients wait to be accepted, on all listeners.

Why it works: whichever pace the clients choose, one of them is always the slowest, and the patience shrinks until it is evicted.

--- a/crates/control-plane/src/runtime.rs
+++ b/crates/control-plane/src/runtime.rs
@@ -195,27 +195,28 @@
 }
 
 /// Binds a listener, if it has an address.
-async fn bind(
+fn bind(
     listener: &'static str,
     address: Option<SocketAddr>,
 ) -> Result<Option<TcpListener>, RuntimeError> {
     let Some(address) = address else {
         return Ok(None);
     };
-    let bound = TcpListener::bind(address).await;
-    bound.map(Some).map_err(|source| RuntimeError::Bind {
-        listener,
-        address,
-        source,
-    })
+    data_plane::listener::bind(address)
+        .map(Some)
+        .map_err(|source| RuntimeError::Bind {
+            listener,
+            address,
+            source,
+        })
 }
 
 impl Listeners {
-    async fn bind(settings: &Settings) -> Result<Self, RuntimeError> {
+    fn bind(settings: &Settings) -> Result<Self, RuntimeError> {
         Ok(Self {
-            peers: bind("peers", Some(settings.internal_addr())).await?,
-            operators: bind("ctl", settings.listen.ctl).await?,
-            directory: bind("dir", settings.listen.dir).await?,
+            peers: bind("peers", Some(settings.internal_addr()))?,
+            operators: bind("ctl", settings.listen.ctl)?,
+            directory: bind("dir", settings.listen.dir)?,
         })
     }
 }
@@ -230,7 +231,7 @@
     reloads: mpsc::UnboundedReceiver<Settings>,
     stop: impl Future<Output = ()>,
 ) -> Result<(), RuntimeError> {
-    let listeners = Listeners::bind(&settings).await?;
+    let listeners = Listeners::bind(&settings)?;
     tokio::pin!(stop);
     let persistence = match settings.data_dir.clone() {
         Some(dir) => tokio::select! {
--- a/crates/data-plane/src/client_connections.rs
+++ b/crates/data-plane/src/client_connections.rs
@@ -7,6 +7,7 @@
 //! client that leaves its response unread may lose the rest of it.
 
 mod connection;
+mod shortage;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -18,6 +19,7 @@
 use crate::client_stream::Traffic;
 pub use connection::ClientConnection;
 use connection::EVICT_SLOW_READER_AFTER;
+pub use shortage::{ConnectionShortage, ShortageLevel};
 
 /// Timeouts of client connections.
 #[derive(Clone, Copy, Debug)]
@@ -37,6 +39,7 @@
     /// While more connections than this are in use, each response causes an idle connection to be closed.
     idle_eviction_threshold: usize,
     timeouts: Rc<Cell<ClientTimeouts>>,
+    shortage: ConnectionShortage,
 }
 
 /// The slot of a connection in the registry; dropping it frees the slot.
@@ -86,6 +89,7 @@
             max_connections,
             idle_eviction_threshold,
             timeouts: Rc::new(Cell::new(timeouts)),
+            shortage: ConnectionShortage::default(),
         })
     }
 
@@ -94,6 +98,11 @@
         self.timeouts.set(timeouts);
     }
 
+    /// Returns how short connections are.
+    pub fn shortage(&self) -> &ConnectionShortage {
+        &self.shortage
+    }
+
     /// Returns the number of open connections.
     pub fn len(&self) -> usize {
         self.open.borrow().len()
@@ -122,14 +131,15 @@
     }
 
     /// Evicts one connection without an open request: the one that has waited longest for a request head or to be
-    /// closed, else the one that has waited longest for its client to read, or else the one that has been idle longest. Otherwise hundreds of silent connections could occupy all slots and lock out every other client. Returns
-    /// false if there is none.
+    /// closed, else the one that has waited longest for its client to read, or else the one that has been idle longest.
+    /// Otherwise hundreds of silent connections could occupy all slots and lock out every other client. Returns false if
+    /// there is none.
     pub fn evict_idle(&self) -> bool {
         let now = Instant::now();
         let open = self.open.borrow();
         let idle = open
             .values()
-            .filter_map(|c| Some((c.eviction_rank(now)?, c)));
+            .filter_map(|c| Some((c.eviction_rank(now, self.shortage.level())?, c)));
         let longest = idle.min_by_key(|(rank, _)| *rank);
         if let Some((_, longest)) = longest {
             longest.evict();
--- a/crates/data-plane/src/client_connections/connection.rs
+++ b/crates/data-plane/src/client_connections/connection.rs
@@ -13,13 +13,16 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
 
-use super::ClientTimeouts;
+use super::{ClientTimeouts, ShortageLevel};
 use crate::client_stream::Traffic;
 
 /// A connection that served a client within this time is not evicted.
 pub(super) const EVICT_IDLE_AFTER: Duration = Duration::from_secs(2);
-/// A client that has read nothing of its response for this long may be evicted for another one.
+/// A client that has read nothing of its response for this long may be evicted for another one, or sooner if connections
+/// are short for longer.
 pub(super) const EVICT_UNREAD_AFTER: Duration = Duration::from_secs(5);
+/// So may a client that has read less than this since it got its response, on average, after the same time.
+pub(super) const MIN_SEND_BYTES_PER_SECOND: f64 = 256.0;
 /// A connection on which no request has arrived for this long may be evicted: clients that have a request send it
 /// immediately.
 pub(super) const EVICT_UNUSED_AFTER: Duration = Duration::from_millis(250);
@@ -74,6 +77,8 @@
     last_written: Instant,
     /// The number of bytes read when the response was passed on.
     bytes_read: u64,
+    /// The number of bytes written when the response was passed on.
+    bytes_written_before: u64,
     /// The number of bytes written at `last_written`.
     bytes_written: u64,
     /// When the first byte of the next request head was observed.
@@ -103,6 +108,7 @@
             answered_at: now,
             last_written: now,
             bytes_read: self.traffic.bytes_read(),
+            bytes_written_before: self.traffic.bytes_written(),
             bytes_written: self.traffic.bytes_written(),
             next_head: None,
         }));
@@ -194,7 +200,11 @@
 
     /// Returns the eviction order of the connection, or `None` if it must not be evicted now. The least rank is evicted
     /// first; within each group, that is the one that has waited longest.
-    pub(super) fn eviction_rank(&self, now: Instant) -> Option<(EvictionOrder, Instant)> {
+    pub(super) fn eviction_rank(
+        &self,
+        now: Instant,
+        shortage: ShortageLevel,
+    ) -> Option<(EvictionOrder, Instant)> {
         let (order, since, after) = match self.state.get() {
             State::New { since } | State::Closing { since } => {
                 (EvictionOrder::Unused, since, EVICT_UNUSED_AFTER)
@@ -203,17 +213,28 @@
                 next_head: Some(began),
                 ..
             }) => (EvictionOrder::Unused, began, EVICT_UNUSED_AFTER),
-            State::KeepAlive(kept) if self.traffic.is_write_blocked() => (
-                EvictionOrder::UnreadResponse,
-                self.last_written(&kept),
-                EVICT_UNREAD_AFTER,
-            ),
+            State::KeepAlive(kept) if self.traffic.is_write_blocked() => {
+                let patience = shortage.patience(EVICT_UNREAD_AFTER);
+                let min_rate = shortage.min_rate(MIN_SEND_BYTES_PER_SECOND);
+                let since = if self.sending_rate(&kept, now) < min_rate {
+                    kept.answered_at
+                } else {
+                    self.last_written(&kept)
+                };
+                (EvictionOrder::UnreadResponse, since, patience)
+            }
             State::KeepAlive(_) => (EvictionOrder::Idle, self.idle_since()?, EVICT_IDLE_AFTER),
             State::RequestOpen | State::Evicted => return None,
         };
         (now >= since + after).then_some((order, since))
     }
 
+    /// Returns how many bytes per second the client has taken since it got its response.
+    fn sending_rate(&self, kept: &KeepAlive, now: Instant) -> f64 {
+        let bytes = self.traffic.bytes_written() - kept.bytes_written_before;
+        bytes as f64 / (now - kept.answered_at).as_secs_f64()
+    }
+
     /// Returns when a part of the response was last seen to be written.
     fn last_written(&self, kept: &KeepAlive) -> Instant {
         if kept.bytes_written == self.traffic.bytes_written() {
--- a/crates/data-plane/src/client_connections/tests.rs
+++ b/crates/data-plane/src/client_connections/tests.rs
@@ -178,3 +178,36 @@
     drop(slots);
     assert!(!all.evict_slow_reader(), "nobody is left to release memory");
 }
+
+/// Guards against clients that keep all connections because they stay just within every threshold: the patience with them
+/// shrinks while others wait, and recovers afterwards.
+#[tokio::test(start_paused = true)]
+async fn patience_shrinks_while_nobody_can_be_evicted() {
+    let timeouts = ClientTimeouts {
+        idle: Duration::from_secs(60),
+        ..TIMEOUTS
+    };
+    let all = ClientConnections::new(1, 1, timeouts);
+    let traffic = Traffic::default();
+    let slot = all.register(traffic.clone());
+    slot.on_response();
+    let step = Duration::from_millis(500);
+    let mut steps = 0;
+    while !all.evict_idle() {
+        all.shortage().on_nothing_evicted();
+        steps += 1;
+        // The client reads a part within each step.
+        traffic.record_write(&Poll::Ready(Ok(8192)));
+        traffic.record_write(&Poll::Pending);
+        assert!(!has_ended(&slot).await);
+        advance(step).await;
+    }
+    assert!(is_evicted(&slot).await);
+    assert!((2..20).contains(&steps), "evicted after {steps} steps");
+    let level = all.shortage().level();
+    assert!(level.patience(EVICT_UNREAD_AFTER) < step);
+    for _ in 0..steps {
+        all.shortage().on_no_client_waiting();
+    }
+    assert_eq!(all.shortage().level(), ShortageLevel::default());
+}
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -28,6 +28,7 @@
 
 pub mod abort_on_drop;
 pub mod body;
+mod byte_rate;
 pub mod change_notifier;
 pub mod client_connections;
 pub mod client_stream;
--- a/crates/data-plane/src/listener.rs
+++ b/crates/data-plane/src/listener.rs
@@ -19,13 +19,15 @@
 mod delivery;
 
 use std::cell::Cell;
-use std::future::Future;
+use std::future::{Future, poll_fn};
+use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::Request;
 use hyper::body::Incoming;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -42,6 +44,9 @@
 /// The pause before the next attempt to accept while all slots are occupied. A client in the backlog waits a moment; a
 /// connection accepted without a free file descriptor would be dropped.
 const FULL_BACKOFF: Duration = Duration::from_millis(1);
+/// How many clients may wait to be accepted. While all slots are occupied, a shorter queue would soon be filled by clients
+/// that come in great numbers, and the system would drop the connection attempts of others.
+const ACCEPT_BACKLOG: u32 = 1024;
 /// The pause after a stalled request was evicted: its response is written and its connection drained before the slot is
 /// free, and fewer requests than there are new clients would be spared without the pause.
 const STALLED_BACKOFF: Duration = Duration::from_millis(5);
@@ -70,6 +75,21 @@
     pub final_request_wait: Duration,
 }
 
+/// Listens on an address.
+///
+/// # Errors
+/// Returns an error if the address is not available.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(ACCEPT_BACKLOG)
+}
+
 /// Handles the requests of a listener.
 pub trait RequestHandler: 'static {
     /// Whether each request gets a [`DeliveryReceipt`] as an extension.
@@ -176,8 +196,8 @@
                 self.make_room().await;
                 continue;
             }
-            match listener.accept().await {
-                Ok((stream, _)) => self.start_connection(stream, closing.clone()),
+            match self.accept_next(listener).await {
+                Ok(stream) => self.start_connection(stream, closing.clone()),
                 // No file descriptor left, or the connection was aborted: neither is a reason to stop.
                 Err(error) => {
                     tracing::warn!(%error, "failed to accept a connection");
@@ -187,6 +207,21 @@
         }
     }
 
+    /// Accepts one connection.
+    async fn accept_next(&self, listener: &TcpListener) -> io::Result<TcpStream> {
+        let shortage = self.connections.shortage();
+        let accepted = poll_fn(|cx| {
+            let accepted = listener.poll_accept(cx);
+            if accepted.is_pending() {
+                shortage.on_no_client_waiting();
+            }
+            accepted
+        });
+        let (stream, _) = accepted.await?;
+        shortage.on_relieved();
+        Ok(stream)
+    }
+
     /// Reports the number of open connections to the memory for request bodies, with which they share memory.
     fn report_open_connections(&self) {
         if let Some(memory) = self.handler.request_memory() {
@@ -203,15 +238,22 @@
 
     /// Evicts a connection or an incomplete request for another client, and waits a moment.
     async fn make_room(&self) {
-        let memory = self.handler.request_memory();
-        let is_evicting_request =
-            !self.connections.evict_idle() && memory.is_some_and(RequestMemory::evict_stalled);
-        sleep(if is_evicting_request {
+        let shortage = self.connections.shortage();
+        let evict_request = || {
+            let memory = self.handler.request_memory();
+            memory.is_some_and(|memory| memory.evict_slowest(shortage.level()))
+        };
+        let backoff = if self.connections.evict_idle() {
+            shortage.on_relieved();
+            FULL_BACKOFF
+        } else if evict_request() {
+            shortage.on_relieved();
             STALLED_BACKOFF
         } else {
+            shortage.on_nothing_evicted();
             FULL_BACKOFF
-        })
-        .await;
+        };
+        sleep(backoff).await;
     }
 
     fn start_connection(self: &Rc<Self>, stream: TcpStream, closing: watch::Receiver<bool>) {
--- a/crates/data-plane/src/request_memory.rs
+++ b/crates/data-plane/src/request_memory.rs
@@ -31,8 +31,10 @@
 
 pub use self::budget::MemoryReservation;
 use self::budget::{Budget, Pool};
-use self::eviction::{Candidate, Claim, choose_longest_stalled, choose_victim};
+use self::eviction::{Candidate, Claim, choose_slowest, choose_victim};
 use self::metrics::{EvictionReason, Evictions};
+use crate::byte_rate::ByteRate;
+use crate::client_connections::ShortageLevel;
 use crate::request_body::{RequestBody, SegmentedBuffer};
 
 /// Why there is no complete body.
@@ -110,8 +112,10 @@
 /// A body that is being received.
 struct IncompleteBody {
     content: RefCell<Content>,
+    started_at: Instant,
     /// When its last bytes arrived, or when the receipt began.
     last_progress: Cell<Instant>,
+    rate: Cell<ByteRate>,
     is_evicted: Cell<bool>,
     evicted: Notify,
 }
@@ -200,10 +204,10 @@
         self.budget.max_connections()
     }
 
-    /// Evicts the incomplete body that has stalled longest, because its connection is needed; returns false if none has
-    /// stalled.
-    pub fn evict_stalled(&self) -> bool {
-        let Some(id) = choose_longest_stalled(&self.candidates(None), Instant::now()) else {
+    /// Evicts the incomplete body that arrives most slowly, because its connection is needed; returns false if none is slow
+    /// enough at this level of the shortage.
+    pub fn evict_slowest(&self, shortage: ShortageLevel) -> bool {
+        let Some(id) = choose_slowest(&self.candidates(None), shortage, Instant::now()) else {
             return false;
         };
         self.evictions.count(EvictionReason::Stalled);
@@ -214,12 +218,15 @@
     /// Adds a new body to the table.
     fn add_to_table(&self, announced: Option<usize>) -> TableEntry<'_> {
         let id = self.next_id.replace(self.next_id.get() + 1);
+        let now = Instant::now();
         let body = Rc::new(IncompleteBody {
             content: RefCell::new(Content {
                 buffer: SegmentedBuffer::new(announced),
                 reservation: MemoryReservation::new(self.budget.clone()),
             }),
-            last_progress: Cell::new(Instant::now()),
+            started_at: now,
+            last_progress: Cell::new(now),
+            rate: Cell::new(ByteRate::new(now)),
             is_evicted: Cell::new(false),
             evicted: Notify::new(),
         });
@@ -242,7 +249,7 @@
         if entry.body.content.borrow().buffer.len() + rest.len() > max_bytes {
             return Err(ReceiveError::TooLarge);
         }
-        entry.body.last_progress.set(Instant::now());
+        entry.body.on_progress(data.len());
         while !rest.is_empty() {
             if entry.body.content.borrow().buffer.spare_bytes() == 0 {
                 self.enlarge(entry)?;
@@ -289,7 +296,9 @@
                     id: *id,
                     bytes: content.reservation.bytes(),
                     is_in_small_pool: content.reservation.pool() == Pool::Small,
+                    started_at: body.started_at,
                     last_progress: body.last_progress.get(),
+                    rate: body.rate.get(),
                 }
             })
             .collect()
@@ -307,6 +316,15 @@
 }
 
 impl IncompleteBody {
+    /// Records that bytes have arrived.
+    fn on_progress(&self, bytes: usize) {
+        let now = Instant::now();
+        let mut rate = self.rate.get();
+        rate.record(now, bytes);
+        self.rate.set(rate);
+        self.last_progress.set(now);
+    }
+
     /// Takes the received bytes with their reservation.
     fn take_content(&self) -> Content {
         let content = &mut *self.content.borrow_mut();
--- a/crates/data-plane/src/runtime.rs
+++ b/crates/data-plane/src/runtime.rs
@@ -33,7 +33,7 @@
 use crate::client_connections::ClientTimeouts;
 use crate::control_client::{CONNECT_TIMEOUT, ControlClient};
 use crate::engine::{Engine, EngineConfig, EngineEvent};
-use crate::listener::{Listener, ListenerLimits, RequestHandler};
+use crate::listener::{self, Listener, ListenerLimits, RequestHandler};
 use crate::routes::Routes;
 use crate::upstream_pool::{
     LoadReportFormat, PoolConfig, UpstreamPool, UpstreamProtocol, implies_not_run,
@@ -171,9 +171,8 @@
     });
 }
 
-async fn bind(setting: &'static str, address: SocketAddr) -> Result<TcpListener, RuntimeError> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(|source| RuntimeError::Bind {
+fn bind(setting: &'static str, address: SocketAddr) -> Result<TcpListener, RuntimeError> {
+    listener::bind(address).map_err(|source| RuntimeError::Bind {
         setting,
         address,
         source,
@@ -209,9 +208,9 @@
     stop: impl Future<Output = ()>,
 ) -> Result<(), RuntimeError> {
     let http = settings.listen.http.ok_or(RuntimeError::NoHttpAddress)?;
-    let socket = bind("http", http).await?;
+    let socket = bind("http", http)?;
     let readiness_socket = match settings.listen.readiness {
-        Some(address) => Some(bind("readiness", address).await?),
+        Some(address) => Some(bind("readiness", address)?),
         None => None,
     };
     let limits = client_limits(max_connections(&settings), settings.grace_period());
--- a/crates/standalone-proxy/src/main.rs
+++ b/crates/standalone-proxy/src/main.rs
@@ -17,11 +17,10 @@
 
 use data_plane::abort_on_drop::AbortOnDrop;
 use data_plane::engine::{Engine, EngineConfig, EngineHandle};
-use data_plane::listener::Listener;
+use data_plane::listener::{self, Listener};
 use data_plane::runtime::disconnect_slow_readers_on_shortage;
 use data_plane::upstream_pool::UpstreamPool;
 use load_balancing::interface::MembershipKind;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::{LocalSet, spawn_local};
@@ -70,9 +69,7 @@
         address: config.listen,
         cause,
     };
-    let listener = TcpListener::bind(config.listen)
-        .await
-        .map_err(listen_error)?;
+    let listener = listener::bind(config.listen).map_err(listen_error)?;
     let pool = UpstreamPool::new(config.pool_config());
     let (engine, handle, watch) = start_engine(&config, pool.clone())?;
     let engine = spawn_local(engine.run());
