Don't blame upstreams for responses that wait for memory of this process

What callers saw: 64 MiB, 200 clients that ask for 24 responses of 1 MB each and read nothing, or 512 bytes each 200 ms: ordinary requests that need next to no memory got 503.

One that found no memory failed at once if no client had left a response unread yet, since those that were still being received held it all: 348 attempts. Each counted as a failure of its upstream, so 10 of 16 were unresponsive and their N_i were missing from the sum. Those that waited did so within their service time and slots: TS rose to 1.9 s, which lowers every N_i, and the waiting attempts became overdue, again a failure of the upstream.

Change: a response waits for memory while any other response holds some, 3 s at most and 64 at once; then its attempt ends as cancelled by this process. The balancer learns of the wait (ResponseDelayed): the upstream has answered, so its slot is free and the attempt is never overdue; the wait is not part of the latency. A client that has read nothing for 250 ms is disconnected where memory is short, and the one that has read nothing for longest first; before, the one with the oldest response, after 1 s, so that a slow client that reads on came before one that had stopped.

Two tests changed with the rule: where all memory is held by responses that are being received, a body waits (it failed at once before), but still fails at once if nobody else holds any; and the client that stopped reading first is the slowest, with a new check that one that reads on is spared for a second.

--- a/crates/data-plane/src/body.rs
+++ b/crates/data-plane/src/body.rs
@@ -8,7 +8,8 @@
 //! count too.
 //!
 //! **Guarantees.** The reserved bytes never exceed the budget. A body that does not fit is refused, never truncated.
-//! Where memory is short, a body may wait for clients that leave their responses unread, which are disconnected.
+//! Where memory is short, a body may wait for others that release some. Clients that leave their responses unread are
+//! disconnected meanwhile.
 
 use std::cell::OnceCell;
 use std::rc::Rc;
@@ -23,8 +24,11 @@
 /// How often a body that waits for memory lets a slow reader be disconnected.
 const SHORTAGE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Frees memory where it is short; returns whether some is about to be released.
-type ShortageHandler = Box<dyn Fn() -> bool>;
+/// How many bodies may wait for memory at once. Each of them occupies a connection and memory of its upstream.
+const MAX_WAITING_BODIES: usize = 64;
+
+/// Frees memory where it is short.
+type ShortageHandler = Box<dyn Fn()>;
 
 /// The maximum total size of all bodies. Clones share the budget.
 #[derive(Clone)]
@@ -39,6 +43,7 @@
 struct Usage {
     reserved_bytes: AtomicUsize,
     max_bytes: usize,
+    waiting_bodies: AtomicUsize,
     released: Notify,
 }
 
@@ -63,6 +68,7 @@
         let usage = Usage {
             reserved_bytes: AtomicUsize::new(0),
             max_bytes,
+            waiting_bodies: AtomicUsize::new(0),
             released: Notify::new(),
         };
         Self {
@@ -72,7 +78,7 @@
     }
 
     /// Sets what frees memory where it is short. Has an effect only once.
-    pub fn set_shortage_handler(&self, on_shortage: impl Fn() -> bool + 'static) {
+    pub fn set_shortage_handler(&self, on_shortage: impl Fn() + 'static) {
         self.on_shortage.get_or_init(|| Box::new(on_shortage));
     }
 
@@ -85,14 +91,43 @@
         reservation.grow_to(bytes).then_some(reservation)
     }
 
-    /// Lets memory be freed, and waits a moment for it; returns false if none is about to be.
-    pub async fn wait_for_memory(&self) -> bool {
-        let is_releasing = self.on_shortage.get().is_some_and(|handler| handler());
-        if is_releasing {
-            // After the interval the handler may have another client to disconnect.
-            let _ = timeout(SHORTAGE_POLL_INTERVAL, self.usage.released.notified()).await;
+    /// Returns whether other bodies hold memory, so that waiting for some to be released makes sense to a body that has
+    /// reserved `own_bytes`.
+    pub fn is_held_by_others(&self, own_bytes: usize) -> bool {
+        self.usage.reserved_bytes.load(Relaxed) > own_bytes
+    }
+
+    /// Counts one more body that waits for memory. Returns `None` if too many wait already.
+    pub fn start_waiting(&self) -> Option<WaitingBody<'_>> {
+        let waiting = self.usage.waiting_bodies.load(Relaxed);
+        if waiting >= MAX_WAITING_BODIES {
+            return None;
+        }
+        self.usage.waiting_bodies.store(waiting + 1, Relaxed);
+        Some(WaitingBody { budget: self })
+    }
+}
+
+/// A body that waits for memory.
+pub struct WaitingBody<'a> {
+    budget: &'a BodyBudget,
+}
+
+impl WaitingBody<'_> {
+    /// Has memory freed, and waits a moment for some to be released.
+    pub async fn wait(&self) {
+        if let Some(free_memory) = self.budget.on_shortage.get() {
+            free_memory();
         }
-        is_releasing
+        // After the interval there may be another client to disconnect.
+        let released = self.budget.usage.released.notified();
+        let _ = timeout(SHORTAGE_POLL_INTERVAL, released).await;
+    }
+}
+
+impl Drop for WaitingBody<'_> {
+    fn drop(&mut self) {
+        self.budget.usage.waiting_bodies.fetch_sub(1, Relaxed);
     }
 }
 
@@ -167,6 +202,11 @@
         }
     }
 
+    /// Returns how many bytes the body has reserved.
+    pub fn reserved_bytes(&self) -> usize {
+        self.reservation.as_ref().map_or(0, |held| held.bytes)
+    }
+
     /// Appends the next bytes.
     ///
     /// # Errors
--- a/crates/data-plane/src/body/tests.rs
+++ b/crates/data-plane/src/body/tests.rs
@@ -26,16 +26,31 @@
     assert_eq!(budget.usage.reserved_bytes.load(Relaxed), 0);
 }
 
-/// Guards against a response that fails although the memory of an unread one is about to be released.
+/// Guards against a response that fails although the memory of another one is released soon, and against one that waits
+/// for memory that nobody releases.
 #[tokio::test(start_paused = true)]
-async fn body_waits_for_memory_only_while_some_is_about_to_be_released() {
+async fn body_waits_for_memory_only_while_others_hold_some() {
     let budget = BodyBudget::new(10);
+    assert!(!budget.is_held_by_others(0), "nobody holds any");
     let held = Rc::new(std::cell::RefCell::new(budget.reserve(10)));
-    assert!(!budget.wait_for_memory().await, "nothing releases any");
+    assert!(!budget.is_held_by_others(10), "nobody else holds any");
+    assert!(budget.is_held_by_others(0));
     let releasing = held.clone();
-    budget.set_shortage_handler(move || releasing.borrow_mut().take().is_some());
+    budget.set_shortage_handler(move || drop(releasing.borrow_mut().take()));
     assert!(BodyBuffer::new(&budget, 1, 10).is_none());
-    assert!(budget.wait_for_memory().await);
+    budget.start_waiting().expect("it may wait").wait().await;
     assert!(BodyBuffer::new(&budget, 1, 10).is_some());
-    assert!(!budget.wait_for_memory().await, "nothing releases any more");
+    assert!(!budget.is_held_by_others(0), "nobody holds any more");
+}
+
+/// Guards against bodies that wait without a bound, each with a connection to an upstream.
+#[test]
+fn number_of_waiting_bodies_is_limited() {
+    let budget = BodyBudget::new(10);
+    let mut waiting: Vec<_> = (0..MAX_WAITING_BODIES)
+        .map(|_| budget.start_waiting().expect("it may wait"))
+        .collect();
+    assert!(budget.start_waiting().is_none());
+    waiting.pop();
+    assert!(budget.start_waiting().is_some());
 }
--- a/crates/data-plane/src/client_connections.rs
+++ b/crates/data-plane/src/client_connections.rs
@@ -18,7 +18,6 @@
 
 use crate::client_stream::Traffic;
 pub use connection::ClientConnection;
-use connection::EVICT_SLOW_READER_AFTER;
 pub use shortage::{ConnectionShortage, ShortageLevel};
 
 /// Timeouts of client connections.
@@ -147,24 +146,22 @@
         longest.is_some()
     }
 
-    /// Evicts the connection with the oldest unread response, if it is old enough, because the memory of the response is
-    /// needed. Evicts only one connection at a time. Returns whether there is an unread response, so that memory may be
-    /// released soon.
+    /// Evicts the connection whose client has read nothing of its response for longest, if that is long enough, because the
+    /// memory of the response is needed. Returns whether there was one. Only one connection is evicted at a time.
     pub fn evict_slow_reader(&self) -> bool {
+        let now = Instant::now();
         let open = self.open.borrow();
         if open.values().any(|c| c.is_evicted_slow_reader()) {
-            return true;
+            return false;
         }
         let unread = open
             .values()
-            .filter_map(|c| Some((c.response_unread_since()?, c)));
-        let Some((since, slowest)) = unread.min_by_key(|(since, _)| *since) else {
-            return false;
-        };
-        if Instant::now() >= since + EVICT_SLOW_READER_AFTER {
+            .filter_map(|c| Some((c.slow_reader_since(now)?, c)));
+        let slowest = unread.min_by_key(|(since, _)| *since);
+        if let Some((_, slowest)) = slowest {
             slowest.evict();
         }
-        true
+        slowest.is_some()
     }
 }
 
--- a/crates/data-plane/src/client_connections/connection.rs
+++ b/crates/data-plane/src/client_connections/connection.rs
@@ -30,6 +30,8 @@
 /// A client that has not read its whole response this long after it was passed on loses the rest if the memory of the
 /// response is needed.
 pub(super) const EVICT_SLOW_READER_AFTER: Duration = Duration::from_secs(1);
+/// So does a client that has read nothing of it for this long.
+pub(super) const EVICT_STOPPED_READER_AFTER: Duration = Duration::from_millis(250);
 
 /// A client has to read a response completely within this many idle timeouts, and at least a part of it within each
 /// one. A client that needs a minute for a megabyte is treated as gone rather than slow.
@@ -185,12 +187,16 @@
         }
     }
 
-    /// Returns when the response was passed on of which a part is still unread; `None` if there is none.
-    pub(super) fn response_unread_since(&self) -> Option<Instant> {
-        match self.state.get() {
-            State::KeepAlive(kept) if self.traffic.is_write_blocked() => Some(kept.answered_at),
-            _ => None,
-        }
+    /// Returns since when the client has read nothing of its response, if it may be disconnected because the memory of the
+    /// response is needed.
+    pub(super) fn slow_reader_since(&self, now: Instant) -> Option<Instant> {
+        let State::KeepAlive(kept) = self.state.get() else {
+            return None;
+        };
+        let last_written = self.last_written(&kept);
+        let is_slow = now >= last_written + EVICT_STOPPED_READER_AFTER
+            || now >= kept.answered_at + EVICT_SLOW_READER_AFTER;
+        (self.traffic.is_write_blocked() && is_slow).then_some(last_written)
     }
 
     /// Returns whether the connection was evicted while a response was unread, and is not closed yet.
--- a/crates/data-plane/src/client_connections/tests.rs
+++ b/crates/data-plane/src/client_connections/tests.rs
@@ -6,7 +6,7 @@
 use tokio::time::{advance, timeout};
 
 use super::connection::{
-    EVICT_IDLE_AFTER, EVICT_SLOW_READER_AFTER, EVICT_UNREAD_AFTER, EVICT_UNUSED_AFTER,
+    EVICT_IDLE_AFTER, EVICT_STOPPED_READER_AFTER, EVICT_UNREAD_AFTER, EVICT_UNUSED_AFTER,
 };
 use super::*;
 
@@ -159,12 +159,12 @@
     }
     // The first one has read its response.
     traffic[0].record_write(&Poll::Ready(Ok(1000)));
-    assert!(all.evict_slow_reader(), "memory may be released soon");
+    assert!(!all.evict_slow_reader());
     for slot in &slots {
         assert!(!is_evicted(slot).await, "they had no time to read");
     }
-    advance(EVICT_SLOW_READER_AFTER).await;
-    assert!(all.evict_slow_reader() && all.evict_slow_reader());
+    advance(EVICT_STOPPED_READER_AFTER).await;
+    assert!(all.evict_slow_reader() && !all.evict_slow_reader());
     let evicted = [
         is_evicted(&slots[0]).await,
         is_evicted(&slots[1]).await,
@@ -177,6 +177,17 @@
     );
     drop(slots);
     assert!(!all.evict_slow_reader(), "nobody is left to release memory");
+
+    // A client that reads on, but not all of its response within a second.
+    let reading = all.register(traffic[0].clone());
+    reading.on_response();
+    for _ in 0..5 {
+        assert!(!all.evict_slow_reader() && !has_ended(&reading).await);
+        advance(EVICT_STOPPED_READER_AFTER * 4 / 5).await;
+        traffic[0].record_write(&Poll::Ready(Ok(1000)));
+        traffic[0].record_write(&Poll::Pending);
+    }
+    assert!(all.evict_slow_reader(), "its response is a second old");
 }
 
 /// Guards against clients that keep all connections because they stay just within every threshold: the patience with them
--- a/crates/data-plane/src/engine.rs
+++ b/crates/data-plane/src/engine.rs
@@ -222,6 +222,7 @@
                 self.on_attempt_ended(id, attempt, result);
                 self.report_ended_attempts();
             }
+            EngineEvent::ResponseDelayed { id, attempt } => self.on_response_delayed(id, attempt),
             EngineEvent::SettingsChanged { service, settings } => {
                 if let Err(error) = self.apply_settings(service, *settings) {
                     tracing::error!(%error, service, "rejected invalid service settings");
--- a/crates/data-plane/src/engine/attempts.rs
+++ b/crates/data-plane/src/engine/attempts.rs
@@ -1,16 +1,18 @@
 //! Starts, cancels and ends attempts at upstreams.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use load_balancing::interface::{self, AttemptOutcome, Event, RequestId, ServerId, Span};
 use protocol::key_load::KEYS_PER_BUCKET;
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::pending_request::{Attempt, AttemptState};
 use super::{Engine, EngineEvent, EngineReply, KeyBucket};
 use crate::abort_on_drop::AbortOnDrop;
-use crate::upstream_pool::AttemptResult;
+use crate::upstream_pool::{AttemptObserver, AttemptResult};
 
 /// The end of an attempt that the balancer has not been notified of yet.
 pub(super) struct EndedAttempt {
@@ -20,6 +22,30 @@
     pub(super) result: AttemptResult,
 }
 
+/// Reports to the engine on one attempt in progress.
+struct Observer {
+    id: RequestId,
+    attempt: usize,
+    is_awaited: Rc<Cell<bool>>,
+    on_wire: Rc<Cell<bool>>,
+    events: mpsc::UnboundedSender<EngineEvent>,
+}
+
+impl AttemptObserver for Observer {
+    fn may_send(&self) -> bool {
+        self.on_wire.set(self.is_awaited.get());
+        self.is_awaited.get()
+    }
+
+    fn on_memory_wait(&self) {
+        // Fails only if the engine, and with it the request, has ended.
+        let _ = self.events.send(EngineEvent::ResponseDelayed {
+            id: self.id,
+            attempt: self.attempt,
+        });
+    }
+}
+
 impl Engine {
     /// Starts an attempt, or ends it at once if the request may not be sent any more. The attempt ends after `timeout`
     /// at the latest, or at the deadline of the request if `timeout` is 0.
@@ -49,15 +75,17 @@
             return;
         };
         let (pool, events) = (self.pool.clone(), self.event_sender.clone());
-        let (forwarded, is_awaited) = (request.forwarded.clone(), request.is_awaited.clone());
-        let on_wire = Rc::clone(&attempt.on_wire);
+        let forwarded = request.forwarded.clone();
+        let observer = Observer {
+            id,
+            attempt: index,
+            is_awaited: request.is_awaited.clone(),
+            on_wire: Rc::clone(&attempt.on_wire),
+            events: events.clone(),
+        };
         let task = tokio::task::spawn_local(async move {
-            let may_send = || {
-                on_wire.set(is_awaited.get());
-                is_awaited.get()
-            };
             let result = pool
-                .attempt(server, &target, &forwarded, deadline, may_send)
+                .attempt(server, &target, &forwarded, deadline, observer)
                 .await;
             // Fails only if the engine, and with it the request, has ended.
             let _ = events.send(EngineEvent::AttemptEnded {
@@ -70,6 +98,18 @@
         request.attempts.push(attempt);
     }
 
+    /// Notifies the balancer that an upstream has responded to an attempt, whose response has to wait for memory.
+    pub(super) fn on_response_delayed(&mut self, id: RequestId, attempt: usize) {
+        if let Some(request) = self.requests.get(&id) {
+            let service = request.service;
+            let event = Event::ResponseDelayed {
+                request: id,
+                attempt,
+            };
+            self.dispatch(service, event);
+        }
+    }
+
     /// Aborts an attempt if it can still be aborted.
     pub(super) fn cancel_attempt(&mut self, id: RequestId, attempt: usize) {
         let request = self.requests.get_mut(&id);
@@ -97,9 +137,10 @@
             // Without a shard key there is no owner, so the request reached another upstream than the intended one.
             result.outcome = AttemptOutcome::Rejected;
         }
-        let Some((server, latency)) = request.end_attempt(attempt) else {
+        let Some((server, duration)) = request.end_attempt(attempt) else {
             return;
         };
+        let latency = duration.saturating_sub(result.memory_wait);
         request.record_outcome(result.outcome);
         if let Some(disconnected_at) = request.disconnected_at {
             self.abandoned
--- a/crates/data-plane/src/engine/handle.rs
+++ b/crates/data-plane/src/engine/handle.rs
@@ -65,6 +65,13 @@
         /// How the attempt ended.
         result: AttemptResult,
     },
+    /// The upstream has responded to an attempt, but the response has to wait for memory of this process.
+    ResponseDelayed {
+        /// The request that the attempt belongs to.
+        id: RequestId,
+        /// Index of the attempt within the request, from 0.
+        attempt: usize,
+    },
     /// The settings of a service changed. Adds a service if `service` is the number after the last one.
     SettingsChanged {
         /// The service.
--- a/crates/data-plane/src/listener.rs
+++ b/crates/data-plane/src/listener.rs
@@ -144,10 +144,9 @@
         self.connections.set_timeouts(timeouts);
     }
 
-    /// Evicts the connection with the oldest unread response, if it is old enough. Returns whether there is an unread
-    /// response, so that its memory may be released soon.
-    pub fn evict_slow_reader(&self) -> bool {
-        self.connections.evict_slow_reader()
+    /// Evicts the connection whose client has read nothing of its response for longest, if that is long enough.
+    pub fn evict_slow_reader(&self) {
+        self.connections.evict_slow_reader();
     }
 
     /// Serves until `stop` completes, then shuts down gracefully. Returns when all connections have ended, or after the
--- a/crates/data-plane/src/runtime.rs
+++ b/crates/data-plane/src/runtime.rs
@@ -165,9 +165,9 @@
 ) {
     let listener = Rc::downgrade(listener);
     pool.set_response_shortage_handler(move || {
-        listener
-            .upgrade()
-            .is_some_and(|listener| listener.evict_slow_reader())
+        if let Some(listener) = listener.upgrade() {
+            listener.evict_slow_reader();
+        }
     });
 }
 
--- a/crates/data-plane/src/upstream_connection.rs
+++ b/crates/data-plane/src/upstream_connection.rs
@@ -41,8 +41,8 @@
 pub use self::error::{IncompleteResponse, NothingSent, ResponseFault};
 pub use self::matching::{AwaitedResponse, EchoedId};
 use self::matching::{CarriedIds, ResponseOwner, response_owner};
-use self::reading::BodySink;
-pub use self::request::{OutgoingRequest, SendProgress};
+use self::reading::{BodySink, create_buffer};
+pub use self::request::{MemoryWait, OutgoingRequest, SendProgress};
 use crate::body::{BodyBudget, BodyBuffer};
 use crate::framing::{Framing, MAX_HEAD_BYTES, closes_connection, parse_head};
 use crate::response_desync::find_status_lines;
@@ -204,7 +204,7 @@
         request: &mut OutgoingRequest<'_>,
         budget: &BodyBudget,
     ) -> Result<Response<Bytes>, IncompleteResponse> {
-        let body = match create_buffer(budget, framing.announced_bytes()).await {
+        let body = match create_buffer(budget, framing.announced_bytes(), request).await {
             Ok(buffer) => {
                 self.read_body(framing, request, BodySink { buffer, budget })
                     .await
@@ -277,20 +277,5 @@
     }
 }
 
-/// Creates a buffer for a response that announces this many bytes. Waits for memory that is about to be released.
-async fn create_buffer(budget: &BodyBudget, announced: usize) -> Result<BodyBuffer, ResponseFault> {
-    if announced > MAX_RESPONSE_BYTES {
-        return Err(ResponseFault::BodyTooLarge);
-    }
-    loop {
-        if let Some(buffer) = BodyBuffer::new(budget, announced, MAX_RESPONSE_BYTES) {
-            return Ok(buffer);
-        }
-        if !budget.wait_for_memory().await {
-            return Err(ResponseFault::NoMemory);
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/data-plane/src/upstream_connection/reading.rs
+++ b/crates/data-plane/src/upstream_connection/reading.rs
@@ -3,12 +3,16 @@
 use std::future::{Future, poll_fn};
 use std::pin::pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use hyper::{Method, Response};
 use tokio::io::AsyncReadExt;
 
-use super::{IncompleteResponse, OutgoingRequest, ResponseFault, Transport, UpstreamConnection};
+use super::{
+    IncompleteResponse, MAX_RESPONSE_BYTES, OutgoingRequest, ResponseFault, Transport,
+    UpstreamConnection,
+};
 use crate::body::{AppendError, BodyBudget, BodyBuffer};
 use crate::framing::{
     Framing, MAX_HEAD_BYTES, MalformedResponse, chunk_size, framing, is_trailer, parse_head,
@@ -18,6 +22,9 @@
 /// Minimum free capacity of the buffer before each read, in bytes.
 const READ_BYTES: usize = 4 << 10;
 
+/// How long a response may wait for memory in total: upstreams break off responses that stay unread for some seconds.
+const MAX_MEMORY_WAIT: Duration = Duration::from_secs(3);
+
 /// Where a body is read to.
 pub(super) struct BodySink<'a> {
     pub(super) buffer: BodyBuffer,
@@ -25,18 +32,68 @@
 }
 
 impl BodySink<'_> {
-    /// Appends the next bytes. Waits for memory that is about to be released.
-    async fn append(&mut self, data: &[u8]) -> Result<(), ResponseFault> {
-        while let Err(error) = self.buffer.append(data) {
-            if error == AppendError::TooLarge {
-                return Err(ResponseFault::BodyTooLarge);
-            }
-            if !self.budget.wait_for_memory().await {
-                return Err(ResponseFault::NoMemory);
+    /// Appends the next bytes. Waits for memory that others release.
+    async fn append(
+        &mut self,
+        data: &[u8],
+        request: &mut OutgoingRequest<'_>,
+    ) -> Result<(), ResponseFault> {
+        let own_bytes = self.buffer.reserved_bytes();
+        let buffer = &mut self.buffer;
+        let appended = wait_for_memory(self.budget, own_bytes, request, || {
+            match buffer.append(data) {
+                Err(AppendError::NoMemory) => None,
+                appended => Some(appended),
             }
+        });
+        appended.await?.map_err(|_| ResponseFault::BodyTooLarge)
+    }
+}
+
+/// Creates a buffer for a body of this length. Waits for memory that others release.
+pub(super) async fn create_buffer(
+    budget: &BodyBudget,
+    announced: usize,
+    request: &mut OutgoingRequest<'_>,
+) -> Result<BodyBuffer, ResponseFault> {
+    if announced > MAX_RESPONSE_BYTES {
+        return Err(ResponseFault::BodyTooLarge);
+    }
+    wait_for_memory(budget, 0, request, || {
+        BodyBuffer::new(budget, announced, MAX_RESPONSE_BYTES)
+    })
+    .await
+}
+
+/// Calls `reserve` until it returns a value, and waits for memory in between.
+///
+/// # Errors
+/// Returns an error if the body exceeds all memory that there is, too many bodies wait already, or the wait takes too long.
+async fn wait_for_memory<T>(
+    budget: &BodyBudget,
+    own_bytes: usize,
+    request: &mut OutgoingRequest<'_>,
+    mut reserve: impl FnMut() -> Option<T>,
+) -> Result<T, ResponseFault> {
+    if let Some(reserved) = reserve() {
+        return Ok(reserved);
+    }
+    if !budget.is_held_by_others(own_bytes) {
+        return Err(ResponseFault::BodyTooLarge);
+    }
+    let waiting = budget.start_waiting().ok_or(ResponseFault::NoMemory)?;
+    request.progress.memory_wait.start();
+    if let Some(on_memory_wait) = request.on_memory_wait {
+        on_memory_wait();
+    }
+    while request.progress.memory_wait.total() < MAX_MEMORY_WAIT {
+        waiting.wait().await;
+        if let Some(reserved) = reserve() {
+            request.progress.memory_wait.end();
+            return Ok(reserved);
         }
-        Ok(())
     }
+    Err(ResponseFault::NoMemory)
 }
 
 impl<S: Transport> UpstreamConnection<S> {
@@ -123,7 +180,7 @@
                 self.read_more(request).await?;
             }
             let n = remaining.min(self.unread.len());
-            body.append(&self.unread[..n]).await?;
+            body.append(&self.unread[..n], request).await?;
             self.unread.advance(n);
             remaining -= n;
         }
--- a/crates/data-plane/src/upstream_connection/request.rs
+++ b/crates/data-plane/src/upstream_connection/request.rs
@@ -1,6 +1,9 @@
-//! A request that is being written to an upstream, and its progress.
+//! A request that is being written to an upstream, and the progress of its exchange.
 
 use std::io::IoSlice;
+use std::time::Duration;
+
+use tokio::time::Instant;
 
 use crate::request_body::RequestBody;
 
@@ -16,6 +19,38 @@
     pub total_bytes: usize,
     /// Whether data has arrived that is, or may be, the start of a response to this request. Only logged.
     pub response_started: bool,
+    /// How long the response has waited for memory of this process.
+    pub memory_wait: MemoryWait,
+}
+
+/// How long a response has waited for memory of this process, for which its upstream is not responsible.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MemoryWait {
+    /// Since when it waits; `None` if it does not.
+    since: Option<Instant>,
+    /// All earlier waits together.
+    earlier: Duration,
+}
+
+impl MemoryWait {
+    /// Returns whether the response waits now.
+    pub fn is_waiting(self) -> bool {
+        self.since.is_some()
+    }
+
+    /// Returns how long the response has waited in total.
+    pub fn total(self) -> Duration {
+        self.earlier + self.since.map_or(Duration::ZERO, |since| since.elapsed())
+    }
+
+    pub(super) fn start(&mut self) {
+        self.since = Some(Instant::now());
+    }
+
+    pub(super) fn end(&mut self) {
+        self.earlier = self.total();
+        self.since = None;
+    }
 }
 
 impl SendProgress {
@@ -47,6 +82,8 @@
     /// Whether writing has ended because the response has begun or writing has failed. After a failure there may still
     /// be a response to read.
     pub(super) writing_stopped: bool,
+    /// Called when the response has to wait for memory.
+    pub(super) on_memory_wait: Option<&'a dyn Fn()>,
 }
 
 impl<'a> OutgoingRequest<'a> {
@@ -56,15 +93,23 @@
             bytes_sent: 0,
             total_bytes: head.len() + body.len(),
             response_started: false,
+            memory_wait: MemoryWait::default(),
         };
         Self {
             head,
             body,
             progress,
             writing_stopped: false,
+            on_memory_wait: None,
         }
     }
 
+    /// Has `on_memory_wait` called when the response has to wait for memory.
+    pub fn on_memory_wait(mut self, on_memory_wait: &'a dyn Fn()) -> Self {
+        self.on_memory_wait = Some(on_memory_wait);
+        self
+    }
+
     /// Returns the next parts of head and body that were not written yet.
     pub(super) fn remaining(&self) -> [IoSlice<'a>; MAX_WRITE_SLICES] {
         let sent = self.progress.bytes_sent;
--- a/crates/data-plane/src/upstream_pool.rs
+++ b/crates/data-plane/src/upstream_pool.rs
@@ -33,7 +33,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout};
 
-pub use self::attempt::{AttemptError, AttemptResult, ErrorOrigin};
+pub use self::attempt::{AttemptError, AttemptObserver, AttemptResult, ErrorOrigin};
 pub use self::load_report::LoadReportFormat;
 pub use self::protocol::{ForwardedRequest, UpstreamProtocol, implies_not_run};
 use self::stale::StaleConnections;
@@ -139,9 +139,8 @@
         pool
     }
 
-    /// Sets what frees memory where that for responses is short: it disconnects a client that leaves its response unread,
-    /// and returns whether some memory is about to be released.
-    pub fn set_response_shortage_handler(&self, on_shortage: impl Fn() -> bool + 'static) {
+    /// Sets what frees memory where that for responses is short: it disconnects a client that leaves its response unread.
+    pub fn set_response_shortage_handler(&self, on_shortage: impl Fn() + 'static) {
         self.response_budget.set_shortage_handler(on_shortage);
     }
 
--- a/crates/data-plane/src/upstream_pool/attempt.rs
+++ b/crates/data-plane/src/upstream_pool/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt: gets a connection, sends the request, receives the response and determines the outcome.
 
 use std::io;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::Response;
@@ -23,6 +24,23 @@
     /// The upstream's response, if it may be forwarded to the client: a success, or an error with a status that does
     /// not imply that the request has not run.
     pub response: Option<Response<Bytes>>,
+    /// How much of its time the attempt has waited for memory of this process, which says nothing about the upstream.
+    pub memory_wait: Duration,
+}
+
+/// What an attempt asks and reports while it is in progress. A closure only answers [`Self::may_send`].
+pub trait AttemptObserver {
+    /// Returns whether the request may be sent. Called right before that.
+    fn may_send(&self) -> bool;
+
+    /// Called when the upstream has responded, but its response has to wait for memory.
+    fn on_memory_wait(&self) {}
+}
+
+impl<F: Fn() -> bool> AttemptObserver for F {
+    fn may_send(&self) -> bool {
+        self()
+    }
 }
 
 impl AttemptResult {
@@ -32,6 +50,7 @@
             outcome,
             report: LoadReport::default(),
             response: None,
+            memory_wait: Duration::ZERO,
         }
     }
 }
@@ -47,6 +66,7 @@
             outcome,
             report,
             response: None,
+            memory_wait: Duration::ZERO,
         }
     }
 }
@@ -107,7 +127,12 @@
     /// Returns the origin of the error.
     pub fn origin(&self) -> ErrorOrigin {
         match self {
-            Self::UnnamedUpstream | Self::ConnectionLimit => ErrorOrigin::Internal,
+            Self::UnnamedUpstream
+            | Self::ConnectionLimit
+            | Self::IncompleteResponse {
+                fault: ResponseFault::NoMemory,
+                ..
+            } => ErrorOrigin::Internal,
             Self::RequestAbandoned => ErrorOrigin::Downstream,
             Self::Connect(_)
             | Self::ConnectTimeout
@@ -130,6 +155,11 @@
             | Self::DeadlineBeforeSent => AttemptOutcome::ConnectFailed,
             Self::UpstreamClosed | Self::RequestAbandoned => AttemptOutcome::NotIssued,
             Self::ResponseTimeout => AttemptOutcome::Timeout,
+            // The upstream is not to blame.
+            Self::IncompleteResponse {
+                fault: ResponseFault::NoMemory,
+                ..
+            } => AttemptOutcome::Cancelled,
             Self::IncompleteResponse { .. } => AttemptOutcome::Reset,
         }
     }
@@ -142,27 +172,40 @@
 }
 
 impl UpstreamPool {
-    /// Makes one attempt, which sends the request at most once and ends at `deadline` at the latest. `may_send` is
-    /// called right before sending; if it returns false, nothing is sent.
+    /// Makes one attempt, which sends the request at most once and ends at `deadline` at the latest. Nothing is sent if the
+    /// observer does not allow it.
     pub async fn attempt(
         &self,
         server: ServerId,
         target: &Target,
         forwarded: &ForwardedRequest,
         deadline: Instant,
-        may_send: impl Fn() -> bool,
+        observer: impl AttemptObserver,
     ) -> AttemptResult {
         let mut progress = SendProgress::default();
-        let exchange = self.exchange(server, target, forwarded, deadline, may_send, &mut progress);
+        let exchange = self.exchange(
+            server,
+            target,
+            forwarded,
+            deadline,
+            &observer,
+            &mut progress,
+        );
         let result = match timeout_at(deadline, exchange).await {
             Ok(result) => result,
             Err(_) if progress.proves_not_run() => Err(AttemptError::DeadlineBeforeSent),
+            Err(_) if progress.memory_wait.is_waiting() => Err(AttemptError::IncompleteResponse {
+                fault: ResponseFault::NoMemory,
+                report: LoadReport::default(),
+            }),
             Err(_) => Err(AttemptError::ResponseTimeout),
         };
-        result.unwrap_or_else(|error| {
+        let mut result = result.unwrap_or_else(|error| {
             self.log_failure(target, forwarded, progress, &error);
             error.into()
-        })
+        });
+        result.memory_wait = progress.memory_wait.total();
+        result
     }
 
     fn log_failure(
@@ -192,7 +235,7 @@
         target: &Target,
         forwarded: &ForwardedRequest,
         deadline: Instant,
-        may_send: impl Fn() -> bool,
+        observer: &impl AttemptObserver,
         progress: &mut SendProgress,
     ) -> Result<AttemptResult, AttemptError> {
         let protocol = &self.config.protocol;
@@ -217,7 +260,7 @@
             if target.is_closed() {
                 return Err(AttemptError::UpstreamClosed);
             }
-            if !may_send() {
+            if !observer.may_send() {
                 self.put_idle(server, pooled);
                 return Err(AttemptError::RequestAbandoned);
             }
@@ -226,7 +269,9 @@
             let sent_at = Instant::now();
             let idle_time = sent_at - connection.idle_since;
             let connect_time = connection.connect_time;
-            let mut request = OutgoingRequest::new(&head, &forwarded.body, progress);
+            let on_memory_wait = || observer.on_memory_wait();
+            let mut request = OutgoingRequest::new(&head, &forwarded.body, progress)
+                .on_memory_wait(&on_memory_wait);
             match connection.send(&mut request).await {
                 Ok(()) => {}
                 // The upstream has dropped the connection while it was idle: try another one.
@@ -274,6 +319,7 @@
             outcome,
             report,
             response: may_forward.then_some(response),
+            memory_wait: Duration::ZERO,
         }
     }
 
--- a/crates/load-balancing/src/interface/events.rs
+++ b/crates/load-balancing/src/interface/events.rs
@@ -107,6 +107,14 @@
     Request(Request),
     /// An attempt has ended.
     AttemptEnded(AttemptResult),
+    /// An upstream has answered an attempt, but the answer waits for the host, which has no memory for it. The upstream's
+    /// slot is free, and the attempt never becomes overdue.
+    ResponseDelayed {
+        /// The request.
+        request: RequestId,
+        /// Index of the attempt, from 0.
+        attempt: usize,
+    },
     /// The response has begun to stream. The client gets the response of this attempt, and the balancer need not end
     /// the request.
     ResponseStarted(RequestId),
--- a/crates/load-balancing/src/policy/attempts.rs
+++ b/crates/load-balancing/src/policy/attempts.rs
@@ -3,7 +3,7 @@
 
 use super::Balancer;
 use super::state::circuit_breaker::CircuitBreaker;
-use super::state::request::{Attempt, AttemptState, PendingRequest};
+use super::state::request::{Attempt, AttemptId, AttemptState, PendingRequest};
 use super::state::upstream::Upstream;
 use super::state::upstream_table::UpstreamIndex;
 use crate::interface::{
@@ -160,6 +160,32 @@
         self.dispatch(now, actions);
     }
 
+    /// Handles an attempt that its upstream has answered, while the answer waits for memory of the host. The upstream has
+    /// done its work, so its slot is free. Had such attempts kept their slots and become overdue, a few clients that read
+    /// nothing would have all upstreams look unresponsive.
+    pub(super) fn on_response_delayed(
+        &mut self,
+        now: Time,
+        id: AttemptId,
+        actions: &mut Vec<Action>,
+    ) {
+        let request = self.requests.get_mut(&id.request);
+        let attempt = request.and_then(|request| request.attempts.get_mut(id.attempt));
+        let Some(attempt) = attempt.filter(|a| a.state == AttemptState::InFlight) else {
+            return;
+        };
+        attempt.is_answered = true;
+        let had_slot = !std::mem::replace(&mut attempt.is_slot_released, true);
+        let (index, sent_at) = (attempt.upstream, attempt.sent_at);
+        let upstream = &mut self.upstreams[index];
+        upstream.last_answered_sent_at = upstream.last_answered_sent_at.max(sent_at);
+        if had_slot {
+            self.record_concurrency(now, index, None);
+            self.count_in_flight(index, -1);
+        }
+        self.dispatch(now, actions);
+    }
+
     /// Blocks an ordering key after an attempt that may still be running.
     fn block_key(&mut self, now: Time, key: u64, outcome: AttemptOutcome) {
         let may_be_running = matches!(
--- a/crates/load-balancing/src/policy/hedging.rs
+++ b/crates/load-balancing/src/policy/hedging.rs
@@ -54,7 +54,8 @@
                 continue;
             };
             let attempt = request.attempts.get(id.attempt).copied();
-            let Some(attempt) = attempt.filter(|a| a.state == AttemptState::InFlight) else {
+            let is_unanswered = |a: &Attempt| a.state == AttemptState::InFlight && !a.is_answered;
+            let Some(attempt) = attempt.filter(is_unanswered) else {
                 continue;
             };
             self.in_flight.push(id);
--- a/crates/load-balancing/src/policy/mod.rs
+++ b/crates/load-balancing/src/policy/mod.rs
@@ -185,6 +185,9 @@
             }
             Event::Request(request) => self.on_request(now, &request, actions),
             Event::AttemptEnded(result) => self.on_attempt_ended(now, &result, actions),
+            Event::ResponseDelayed { request, attempt } => {
+                self.on_response_delayed(now, AttemptId { request, attempt }, actions);
+            }
             Event::ResponseStarted(id) => self.end_request(id),
             Event::ClientDisconnected(id) => self.finish_request(id, actions),
             Event::TimerFired(SWEEP_TIMER_TOKEN) => self.on_sweep_timer(now, actions),
--- a/crates/load-balancing/src/policy/state/request.rs
+++ b/crates/load-balancing/src/policy/state/request.rs
@@ -27,6 +27,8 @@
     pub(in crate::policy) is_hedge_due: bool,
     /// Whether its slot was released before its outcome was known.
     pub(in crate::policy) is_slot_released: bool,
+    /// Whether the upstream has answered it, though its outcome is not known yet.
+    pub(in crate::policy) is_answered: bool,
 }
 
 impl Attempt {
@@ -38,6 +40,7 @@
             is_overdue: false,
             is_hedge_due: false,
             is_slot_released: false,
+            is_answered: false,
         }
     }
 }
