--- a/crates/shorefront/tests/uncontrolled_clients/operator_interface.rs
+++ b/crates/shorefront/tests/uncontrolled_clients/operator_interface.rs
@@ -3,9 +3,10 @@
 use serde_json::json;
 
 use crate::client_group::{ClientGroup, Framing, Upload, wait_until_settled};
-use crate::common::http_client::{get, post, replace_config};
+use crate::common::http_client::{get, post, replace_config, send};
 use crate::common::wait_for;
-use crate::machine::{MANY_FDS, check_process};
+use crate::machine::{FEW_FDS, MANY_FDS, Machine, check_process};
+use crate::system::System;
 use crate::{LONG_TIMES, config, run_alone, start_system, start_upstream};
 
 /// The maximum size of a configuration.
@@ -107,3 +108,49 @@
     check_process("the control balancer", system.control(), MANY_FDS);
     drop(group);
 }
+
+/// Checks that the control balancer lives within its limits, and that a caller gets the configuration.
+fn check_control_balancer(system: &mut System, machine: Machine) {
+    wait_for("the configuration", || {
+        get(system.ctl, "c", "/-/Config.Read").filter(|response| response.status == 200)
+    });
+    check_process("the control balancer", system.control(), machine);
+}
+
+/// Guards against a configuration whose values take many times the memory of its text: it is parsed as a whole.
+#[test]
+fn configurations_of_many_small_values_stay_within_memory() {
+    let _alone = run_alone();
+    let mut system = start_system("ctl-values", MANY_FDS, start_upstream());
+    for value in [r#"{"a":0}"#, "[0]", "0", r#""""#] {
+        let values = format!("{value},").repeat(MAX_CONFIGURATION_BYTES / (value.len() + 1) - 16);
+        let body = format!(r#"{{"rev":7,"upsert":{{"routes":[{values}{value}]}}}}"#);
+        for call in ["Replace", "Amend"] {
+            let request = format!(
+                "POST /-/Config.{call} HTTP/1.1\r\nHost: c\r\nBase-Version: 5\r\nConnection: close\r\n\
+                 Content-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            let status = send(system.ctl, &request).map(|response| response.status);
+            check_process("the control balancer", system.control(), MANY_FDS);
+            assert_eq!(status, Some(413), "{call} of {value}");
+        }
+    }
+    check_control_balancer(&mut system, MANY_FDS);
+}
+
+/// Connections to the port for other processes: more than the machine has descriptors.
+const UNFINISHED_HANDSHAKES: usize = 400;
+
+/// Guards against connections on which no handshake arrives, and against memory for handshakes that never end.
+#[test]
+fn unfinished_handshakes_leave_descriptors_and_memory_to_others() {
+    let _alone = run_alone();
+    let mut system = start_system("handshakes", FEW_FDS, start_upstream());
+    let mut frame = u32::to_be_bytes(MAX_CONFIGURATION_BYTES as u32).to_vec();
+    frame.resize(1 << 20, 0);
+    let group = ClientGroup::send(system.internal(), UNFINISHED_HANDSHAKES, &frame);
+    check_control_balancer(&mut system, FEW_FDS);
+    drop(group);
+    check_control_balancer(&mut system, FEW_FDS);
+}
--- a/crates/shorefront/tests/whole_path/system.rs
+++ b/crates/shorefront/tests/whole_path/system.rs
@@ -10,7 +10,7 @@
 use crate::common::http_client::replace_config;
 use crate::common::mock_server::start_mock_server;
 use crate::common::{
-    Process, SettingsTemplate, free_address, free_port, instance, instance_list, start,
+    Process, SettingsTemplate, free_address, free_port, instance, instance_list, loopback, start,
     temporary_folder, wait_for, wait_until_ready,
 };
 
@@ -77,6 +77,11 @@
         self.control.as_mut().expect("it runs")
     }
 
+    /// Returns the address for other control processes and for balancers.
+    pub(crate) fn internal(&self) -> SocketAddr {
+        loopback(self.settings.internal_port)
+    }
+
     /// Applies the first configuration, and waits until the data plane is ready.
     pub(crate) fn configure(&self, config: &Value) {
         wait_for("the configuration", || {
