Limit handshakes that have not arrived yet, in number and in size

What was seen: 400 connections to the port for other processes, each with 1 MiB of a handshake that announces 8: a control process held 328 MiB of 96 and more descriptors than it has. It would have ended.

Cause: each accepted connection was read for up to 2 s as a message of up to 16 MiB, however many there were; the listener for processes has none of the limits of the HTTP listeners.

Change: a handshake has at most 64 KiB (a real one has a few names and addresses), and at most 64 connections wait for theirs. One more takes the place of the one that has waited longest; processes send their handshake immediately, so theirs is not that one.

--- a/crates/control-plane/src/connections.rs
+++ b/crates/control-plane/src/connections.rs
@@ -5,11 +5,12 @@
 //! **State.** Only the state of each open connection. Received messages are passed to [`ControlServer`].
 //!
 //! **Failures.** A process that dialled this one is disconnected if it sends nothing, or accepts no data, for a few
-//! seconds; it has to dial again. A peer that does not answer is redialled indefinitely. Messages in flight are lost
+//! seconds, or if others dial before its handshake has arrived and too many wait for theirs; it has to dial again. A peer that does not answer is redialled indefinitely. Messages in flight are lost
 //! when a connection ends; on a new connection to a peer, the handshake is followed by all sessions and zone lists of
 //! the dialling process.
 
 mod dialer;
+mod pending_handshakes;
 mod watch_session;
 
 use std::io;
@@ -23,12 +24,15 @@
 
 pub use self::dialer::dial_peers;
 
+use self::pending_handshakes::{PendingHandshake, PendingHandshakes};
 use self::watch_session::WatchSession;
 use crate::server::{ControlServer, SESSION_SYNC_INTERVAL};
 
 /// An accepted connection on which no handshake has arrived after this time is closed. The dialling process sends it
 /// immediately.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(2000);
+/// The maximum size of a handshake: it has a few names and addresses.
+const MAX_HANDSHAKE_BYTES: usize = 64 << 10;
 /// A peer that has been silent for this long, which is three missed heartbeats, is disconnected.
 const PEER_IDLE_TIMEOUT: Duration = SESSION_SYNC_INTERVAL.saturating_mul(3);
 /// The delay before accepting again after an error, and before redialling a peer after a connection failed or ended.
@@ -41,13 +45,14 @@
 
 /// Accepts connections from peers and from the data plane. Never returns.
 pub async fn accept_connections(server: Rc<ControlServer>, listener: TcpListener) {
+    let handshakes = Rc::<PendingHandshakes>::default();
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
                 let server = server.clone();
                 data_plane::control_client::configure_socket(&stream);
-                tokio::task::spawn_local(async move {
-                    if let Err(error) = serve_connection(server, stream).await {
+                handshakes.spawn(async move |pending| {
+                    if let Err(error) = serve_pending(server, stream, pending).await {
                         tracing::debug!(%from, %error, "an accepted connection was closed");
                     }
                 });
@@ -60,6 +65,17 @@
     }
 }
 
+/// Serves a connection that counts as pending until its handshake has arrived.
+async fn serve_pending(
+    server: Rc<ControlServer>,
+    mut stream: impl Stream,
+    pending: PendingHandshake,
+) -> io::Result<()> {
+    let handshake = receive_handshake(&mut stream).await?;
+    drop(pending);
+    serve_after(handshake, server, stream).await
+}
+
 /// Serves a connection from a peer or a balancer until it ends.
 ///
 /// # Errors
@@ -70,8 +86,20 @@
     server: Rc<ControlServer>,
     mut stream: impl Stream,
 ) -> io::Result<()> {
-    let handshake = wire::receive_message::<Handshake>(&mut stream);
-    let handshake = timeout(HANDSHAKE_TIMEOUT, handshake).await??;
+    let handshake = receive_handshake(&mut stream).await?;
+    serve_after(handshake, server, stream).await
+}
+
+async fn receive_handshake(stream: &mut impl Stream) -> io::Result<Handshake> {
+    let handshake = wire::receive_limited_message(stream, MAX_HANDSHAKE_BYTES);
+    Ok(timeout(HANDSHAKE_TIMEOUT, handshake).await??)
+}
+
+async fn serve_after(
+    handshake: Handshake,
+    server: Rc<ControlServer>,
+    stream: impl Stream,
+) -> io::Result<()> {
     let (Handshake::Control {
         protocol_version, ..
     }
--- a/crates/protocol/src/wire.rs
+++ b/crates/protocol/src/wire.rs
@@ -19,7 +19,8 @@
 pub mod session;
 
 pub use frame::{
-    FrameError, MAX_FRAME_BYTES, decode_body, digest, encode_frame, receive_message, send_message,
+    FrameError, MAX_FRAME_BYTES, decode_body, digest, encode_frame, receive_limited_message,
+    receive_message, send_message,
 };
 pub use handshake::{Balancer, ControlNode, Handshake, PROTOCOL_VERSION};
 pub use peer::{PeerMessage, Session};
--- a/crates/protocol/src/wire/frame.rs
+++ b/crates/protocol/src/wire/frame.rs
@@ -20,11 +20,13 @@
 /// Error when encoding, sending, receiving or decoding a frame. The connection is unusable afterwards.
 #[derive(Debug, thiserror::Error)]
 pub enum FrameError {
-    /// The encoded body or the announced length exceeds [`MAX_FRAME_BYTES`].
-    #[error("frame body of {length} bytes exceeds the limit of {MAX_FRAME_BYTES} bytes")]
+    /// The encoded body or the announced length exceeds its limit, [`MAX_FRAME_BYTES`] for most messages.
+    #[error("frame body of {length} bytes exceeds the limit of {max_bytes} bytes")]
     TooLong {
         /// Length of the body in bytes.
         length: usize,
+        /// The limit in bytes.
+        max_bytes: usize,
     },
     /// The message cannot be represented in CBOR.
     #[error("message cannot be encoded: {0}")]
@@ -59,7 +61,10 @@
     ciborium::into_writer(message, &mut frame).map_err(FrameError::Encode)?;
     let length = frame.len() - LENGTH_PREFIX_BYTES;
     if length > MAX_FRAME_BYTES {
-        return Err(FrameError::TooLong { length });
+        return Err(FrameError::TooLong {
+            length,
+            max_bytes: MAX_FRAME_BYTES,
+        });
     }
     frame[..LENGTH_PREFIX_BYTES].copy_from_slice(&(length as u32).to_be_bytes());
     Ok(frame)
@@ -93,10 +98,21 @@
 /// ended.
 pub async fn receive_message<T: DeserializeOwned>(
     reader: &mut (impl AsyncRead + Unpin),
+) -> Result<T, FrameError> {
+    receive_limited_message(reader, MAX_FRAME_BYTES).await
+}
+
+/// Does the same as [`receive_message`] for a message of at most `max_bytes` bytes.
+///
+/// # Errors
+/// Returns the errors of [`receive_message`].
+pub async fn receive_limited_message<T: DeserializeOwned>(
+    reader: &mut (impl AsyncRead + Unpin),
+    max_bytes: usize,
 ) -> Result<T, FrameError> {
     let length = reader.read_u32().await? as usize;
-    if length > MAX_FRAME_BYTES {
-        return Err(FrameError::TooLong { length });
+    if length > max_bytes {
+        return Err(FrameError::TooLong { length, max_bytes });
     }
     let mut body = Vec::with_capacity(length.min(INITIAL_BODY_CAPACITY_BYTES));
     reader.take(length as u64).read_to_end(&mut body).await?;
