Move the budget for request bodies out of the module that receives them

request_body and request_memory imported each other, and RESPONSE_MEMORY_DIVISOR stood in request_memory and in runtime. The budget and its limits are a module of their own now, request_budget, which both use; the divisor stands in body. Behaviour is as before (78 tests of the data plane's library pass).

--- a/crates/control-plane/src/runtime.rs
+++ b/crates/control-plane/src/runtime.rs
@@ -19,7 +19,8 @@
 
 use data_plane::client_connections::ClientTimeouts;
 use data_plane::listener::{FINAL_REQUEST_WAIT, Listener, ListenerLimits, RequestHandler};
-use data_plane::request_memory::{RequestMemory, RequestMemoryLimits};
+use data_plane::request_budget::RequestMemoryLimits;
+use data_plane::request_memory::RequestMemory;
 use load_balancing::settings::stable_hash;
 use protocol::settings::Settings;
 use raft::{Members, NodeId, PersistentState};
--- a/crates/data-plane/src/body.rs
+++ b/crates/data-plane/src/body.rs
@@ -21,6 +21,8 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+/// The memory of a machine divided by this is the budget for responses that are being read or not yet written to clients.
+pub const RESPONSE_MEMORY_DIVISOR: usize = 4;
 /// How often a body that waits for memory lets a slow reader be disconnected.
 const SHORTAGE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod listener;
 pub mod metrics;
 pub mod request_body;
+pub mod request_budget;
 pub mod request_memory;
 mod response_desync;
 pub mod routes;
--- a/crates/data-plane/src/metrics/tests.rs
+++ b/crates/data-plane/src/metrics/tests.rs
@@ -1,7 +1,7 @@
 //! Metrics of a route in the text format, before and after the route is removed.
 
 use super::*;
-use crate::request_memory::RequestMemoryLimits;
+use crate::request_budget::RequestMemoryLimits;
 
 #[test]
 fn counters_are_reported_and_removed_with_their_route() {
--- a/crates/data-plane/src/request_body.rs
+++ b/crates/data-plane/src/request_body.rs
@@ -5,7 +5,7 @@
 
 use std::io::IoSlice;
 
-use crate::request_memory::MemoryReservation;
+use crate::request_budget::MemoryReservation;
 
 /// The capacity of each segment except the last.
 pub(crate) const SEGMENT_BYTES: usize = 64 << 10;
--- a/crates/data-plane/src/request_memory/budget.rs
+++ b/crates/data-plane/src/request_budget.rs
@@ -1,8 +1,8 @@
 //! The limits of the memory for request bodies, and the reservations of the bodies.
 //!
 //! There are two pools: one for all bodies, and one that only small bodies may use, so that large ones can't occupy
-//! everything. A
-//! small body uses its own pool first. A body that grows beyond [`SMALL_BODY_BYTES`] moves to the shared pool.
+//! everything. A small body uses its own pool first. A body that grows beyond [`SMALL_BODY_BYTES`] moves to the shared
+//! pool.
 //!
 //! The shared pool is larger while few connections are open. Connections and bodies together keep to
 //! [`RequestMemoryLimits::bodies_and_connections_bytes`]: a larger pool allows fewer connections.
@@ -10,10 +10,55 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use super::RequestMemoryLimits;
+use crate::body::RESPONSE_MEMORY_DIVISOR;
+
+/// How much memory request bodies may occupy, in bytes.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestMemoryLimits {
+    /// The maximum for all bodies together, in addition to the next fields.
+    pub shared_bytes: usize,
+    /// Additional memory for bodies of at most 64 KiB, which large ones can't occupy.
+    pub small_body_bytes: usize,
+    /// The maximum for all bodies and the buffers of all connections together. While few connections are open, bodies may
+    /// exceed `shared_bytes` up to this maximum; the number of connections is then limited accordingly.
+    pub bodies_and_connections_bytes: usize,
+}
+
+/// The memory of a machine divided by this is the minimum that all request bodies share.
+const SHARED_MEMORY_DIVISOR: usize = 4;
+/// The memory of a machine divided by this is the memory for small request bodies.
+const SMALL_BODY_MEMORY_DIVISOR: usize = 32;
+
+/// The memory of a machine divided by this stays free.
+const FREE_MEMORY_DIVISOR: usize = 8;
+/// The memory of a process without any client.
+const PROCESS_BYTES: usize = 16 << 20;
+
+impl RequestMemoryLimits {
+    /// Returns the limits for a process that may use `memory_bytes` bytes and holds little else than bodies.
+    pub fn of_data_plane(memory_bytes: usize) -> Self {
+        let others = memory_bytes / RESPONSE_MEMORY_DIVISOR
+            + memory_bytes / SMALL_BODY_MEMORY_DIVISOR
+            + memory_bytes / FREE_MEMORY_DIVISOR
+            + PROCESS_BYTES;
+        Self {
+            bodies_and_connections_bytes: memory_bytes.saturating_sub(others),
+            ..Self::of_machine(memory_bytes)
+        }
+    }
+
+    /// Returns the limits for a process that may use `memory_bytes` bytes and needs most of them for other purposes.
+    pub fn of_machine(memory_bytes: usize) -> Self {
+        Self {
+            shared_bytes: memory_bytes / SHARED_MEMORY_DIVISOR,
+            small_body_bytes: memory_bytes / SMALL_BODY_MEMORY_DIVISOR,
+            bodies_and_connections_bytes: 0,
+        }
+    }
+}
 
 /// The largest body that may use the pool for small bodies.
-pub(super) const SMALL_BODY_BYTES: usize = 64 << 10;
+pub(crate) const SMALL_BODY_BYTES: usize = 64 << 10;
 
 /// The buffers of one client connection: its heads, those of the HTTP library, and input that was read ahead.
 const CONNECTION_BYTES: usize = 60 << 10;
@@ -24,7 +69,7 @@
 
 /// Where the memory of a body is reserved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Pool {
+pub(crate) enum Pool {
     /// Only for bodies of at most [`SMALL_BODY_BYTES`].
     Small,
     /// For all bodies.
@@ -32,7 +77,7 @@
 }
 
 /// The limits of both pools, and how much of each is reserved.
-pub(super) struct Budget {
+pub(crate) struct Budget {
     limits: RequestMemoryLimits,
     shared_bytes: Cell<usize>,
     small_bytes: Cell<usize>,
@@ -40,7 +85,7 @@
 }
 
 impl Budget {
-    pub(super) fn new(limits: RequestMemoryLimits) -> Self {
+    pub(crate) fn new(limits: RequestMemoryLimits) -> Self {
         Self {
             limits,
             shared_bytes: Cell::new(0),
@@ -49,12 +94,12 @@
         }
     }
 
-    pub(super) fn set_open_connections(&self, connections: usize) {
+    pub(crate) fn set_open_connections(&self, connections: usize) {
         self.open_connections.set(connections);
     }
 
     /// Returns how many connections may be open beside the bodies.
-    pub(super) fn max_connections(&self) -> usize {
+    pub(crate) fn max_connections(&self) -> usize {
         let shared_bytes = self.shared_bytes.get();
         if shared_bytes <= self.limits.shared_bytes {
             return usize::MAX;
@@ -73,7 +118,7 @@
 
     /// Returns how many bytes are reserved in both pools.
     #[cfg(test)]
-    pub(super) fn reserved_bytes(&self) -> usize {
+    pub(crate) fn reserved_bytes(&self) -> usize {
         self.shared_bytes.get() + self.small_bytes.get()
     }
 
@@ -109,7 +154,7 @@
 
 impl MemoryReservation {
     /// Creates a reservation of no bytes.
-    pub(super) fn new(budget: Rc<Budget>) -> Self {
+    pub(crate) fn new(budget: Rc<Budget>) -> Self {
         Self {
             budget,
             pool: Pool::Small,
@@ -117,16 +162,16 @@
         }
     }
 
-    pub(super) fn bytes(&self) -> usize {
+    pub(crate) fn bytes(&self) -> usize {
         self.bytes
     }
 
-    pub(super) fn pool(&self) -> Pool {
+    pub(crate) fn pool(&self) -> Pool {
         self.pool
     }
 
     /// Reserves more bytes; returns false, and changes nothing, if neither pool that the body may use has enough left.
-    pub(super) fn grow(&mut self, additional: usize) -> bool {
+    pub(crate) fn grow(&mut self, additional: usize) -> bool {
         let total = self.bytes + additional;
         let may_stay = self.pool == Pool::Shared || total <= SMALL_BODY_BYTES;
         if may_stay && self.budget.reserve(self.pool, additional) {
@@ -147,7 +192,7 @@
     }
 
     /// Returns the reservation, and leaves one of no bytes.
-    pub(super) fn take(&mut self) -> Self {
+    pub(crate) fn take(&mut self) -> Self {
         let empty = Self::new(self.budget.clone());
         std::mem::replace(self, empty)
     }
--- a/crates/data-plane/src/request_memory.rs
+++ b/crates/data-plane/src/request_memory.rs
@@ -1,10 +1,11 @@
 //! Memory for the bodies of requests, from their first byte until the request has its response, and eviction of incomplete
 //! bodies when the memory is exhausted.
 //!
-//! - `budget`: how much memory there is, and how much of it each body has reserved.
 //! - `eviction`: which body is evicted.
 //! - `metrics`: how often that happened.
 //!
+//! How much memory there is, and how much of it each body has reserved, is in [`crate::request_budget`].
+//!
 //! **State.** The reserved bytes, and a table of the bodies that are being received. The table contains the received
 //! bytes, so that an eviction frees their memory immediately.
 //!
@@ -14,7 +15,6 @@
 //!
 //! **Failures.** A body that is refused or evicted ends with [`ReceiveError::NoMemory`].
 
-mod budget;
 mod eviction;
 mod metrics;
 
@@ -29,13 +29,12 @@
 use rustc_hash::FxHashMap;
 use tokio::time::{Instant, sleep_until};
 
-pub use self::budget::MemoryReservation;
-use self::budget::{Budget, Pool};
 use self::eviction::{Candidate, Claim, choose_slowest, choose_victim};
 use self::metrics::{EvictionReason, Evictions};
 use crate::byte_rate::ByteRate;
 use crate::client_connections::ShortageLevel;
 use crate::request_body::{RequestBody, SegmentedBuffer};
+use crate::request_budget::{Budget, MemoryReservation, Pool, RequestMemoryLimits};
 use crate::wake_signal::WakeSignal;
 
 /// Why there is no complete body.
@@ -55,53 +54,6 @@
     NoMemory,
 }
 
-/// How much memory request bodies may occupy, in bytes.
-#[derive(Clone, Copy, Debug)]
-pub struct RequestMemoryLimits {
-    /// The maximum for all bodies together, in addition to the next fields.
-    pub shared_bytes: usize,
-    /// Additional memory for bodies of at most 64 KiB, which large ones can't occupy.
-    pub small_body_bytes: usize,
-    /// The maximum for all bodies and the buffers of all connections together. While few connections are open, bodies may
-    /// exceed `shared_bytes` up to this maximum; the number of connections is then limited accordingly.
-    pub bodies_and_connections_bytes: usize,
-}
-
-/// The memory of a machine divided by this is the minimum that all request bodies share.
-const SHARED_MEMORY_DIVISOR: usize = 4;
-/// The memory of a machine divided by this is the memory for small request bodies.
-const SMALL_BODY_MEMORY_DIVISOR: usize = 32;
-
-/// The memory of a machine divided by this is the memory for responses, as in [`crate::runtime`].
-const RESPONSE_MEMORY_DIVISOR: usize = 4;
-/// The memory of a machine divided by this stays free.
-const FREE_MEMORY_DIVISOR: usize = 8;
-/// The memory of a process without any client.
-const PROCESS_BYTES: usize = 16 << 20;
-
-impl RequestMemoryLimits {
-    /// Returns the limits for a process that may use `memory_bytes` bytes and holds little else than bodies.
-    pub fn of_data_plane(memory_bytes: usize) -> Self {
-        let others = memory_bytes / RESPONSE_MEMORY_DIVISOR
-            + memory_bytes / SMALL_BODY_MEMORY_DIVISOR
-            + memory_bytes / FREE_MEMORY_DIVISOR
-            + PROCESS_BYTES;
-        Self {
-            bodies_and_connections_bytes: memory_bytes.saturating_sub(others),
-            ..Self::of_machine(memory_bytes)
-        }
-    }
-
-    /// Returns the limits for a process that may use `memory_bytes` bytes and needs most of them for other purposes.
-    pub fn of_machine(memory_bytes: usize) -> Self {
-        Self {
-            shared_bytes: memory_bytes / SHARED_MEMORY_DIVISOR,
-            small_body_bytes: memory_bytes / SMALL_BODY_MEMORY_DIVISOR,
-            bodies_and_connections_bytes: 0,
-        }
-    }
-}
-
 /// The memory of all request bodies of a listener.
 pub struct RequestMemory {
     budget: Rc<Budget>,
--- a/crates/data-plane/src/request_memory/eviction.rs
+++ b/crates/data-plane/src/request_memory/eviction.rs
@@ -9,9 +9,9 @@
 
 use tokio::time::Instant;
 
-use super::budget::SMALL_BODY_BYTES;
 use crate::byte_rate::ByteRate;
 use crate::client_connections::ShortageLevel;
+use crate::request_budget::SMALL_BODY_BYTES;
 
 /// The time without a byte after which a body counts as stalled when the memory is exhausted.
 pub(super) const STALLED_AFTER: Duration = Duration::from_secs(1);
--- a/crates/data-plane/src/request_memory/tests.rs
+++ b/crates/data-plane/src/request_memory/tests.rs
@@ -4,10 +4,10 @@
 
 use tokio::time::advance;
 
-use super::budget::SMALL_BODY_BYTES;
 use super::eviction::{DISCONNECTED_AFTER, STALLED_AFTER};
 use super::*;
 use crate::client_connections::ConnectionShortage;
+use crate::request_budget::SMALL_BODY_BYTES;
 
 /// Memory for three large bodies and some small ones.
 const LIMITS: RequestMemoryLimits = RequestMemoryLimits {
--- a/crates/data-plane/src/routes.rs
+++ b/crates/data-plane/src/routes.rs
@@ -42,7 +42,8 @@
 use crate::change_notifier::ChangeNotifier;
 use crate::engine::EngineHandle;
 use crate::metrics::Metrics;
-use crate::request_memory::{RequestMemory, RequestMemoryLimits};
+use crate::request_budget::RequestMemoryLimits;
+use crate::request_memory::RequestMemory;
 
 /// The maximum duration in a configuration, one day; longer ones are reduced to it. Adding a longer duration to a clock
 /// might overflow.
--- a/crates/data-plane/src/runtime.rs
+++ b/crates/data-plane/src/runtime.rs
@@ -30,6 +30,7 @@
 
 use self::readiness::{MAX_READINESS_CONNECTIONS, ReadinessHandler};
 use self::shutdown::{client_limits, reject_unsent_after};
+use crate::body::RESPONSE_MEMORY_DIVISOR;
 use crate::client_connections::ClientTimeouts;
 use crate::control_client::{CONNECT_TIMEOUT, ControlClient};
 use crate::engine::{Engine, EngineConfig, EngineEvent};
@@ -50,8 +51,6 @@
 const TIMER_GRANULARITY: Duration = Duration::from_millis(25);
 /// The assumed idle timeout of upstreams that don't announce one.
 const DEFAULT_UPSTREAM_KEEPALIVE: Duration = Duration::from_secs(8);
-/// The memory limit divided by this is the budget for responses that are being read or not yet written to clients.
-const RESPONSE_MEMORY_DIVISOR: usize = 4;
 
 /// Why the data plane failed to start or ended unexpectedly.
 #[derive(Debug, thiserror::Error)]
--- a/crates/standalone-proxy/src/api/mod.rs
+++ b/crates/standalone-proxy/src/api/mod.rs
@@ -15,7 +15,8 @@
 };
 use data_plane::listener::RequestHandler;
 use data_plane::request_body::RequestBody;
-use data_plane::request_memory::{ReceiveError, RequestMemory, RequestMemoryLimits};
+use data_plane::request_budget::RequestMemoryLimits;
+use data_plane::request_memory::{ReceiveError, RequestMemory};
 use data_plane::upstream_pool::ForwardedRequest;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderName, HeaderValue};
