--- a/crates/control-plane/tests/contact.rs
+++ b/crates/control-plane/tests/contact.rs
@@ -4,13 +4,16 @@
 
 mod common;
 
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
 use common::balancers::{SimulatedBalancer, balancer, wait_until};
 use common::{COMMAND_TIMEOUT, Cluster, DISKLESS, VOTERS, change, run_on_paused_time, settings};
 use control_plane::configuration::CommandOutcome;
+use control_plane::connections::serve_connection;
 use control_plane::server::{ControlServer, Indeterminate};
+use tokio::io::AsyncWriteExt;
 use tokio::time::{Instant, sleep};
 
 const ALL: [usize; VOTERS] = [0, 1, 2, 3, 4];
@@ -399,3 +402,17 @@
         );
     });
 }
+
+/// Guards against connections that occupy memory before it is known which process they belong to.
+#[test]
+fn long_handshake_is_not_received() {
+    run_on_paused_time(async {
+        let cluster = Cluster::new();
+        let server = cluster.server(0).expect("it runs");
+        let (near, mut far) = tokio::io::duplex(1 << 10);
+        let announced = u32::to_be_bytes(1 << 20);
+        far.write_all(&announced).await.expect("written");
+        let error = serve_connection(server, near).await.expect_err("refused");
+        assert_eq!(error.kind(), ErrorKind::InvalidData, "{error}");
+    });
+}
--- a/crates/data-plane/src/engine/tests.rs
+++ b/crates/data-plane/src/engine/tests.rs
@@ -597,3 +597,28 @@
         .await
         .expect("the test to end in time");
 }
+
+/// Guards against upstreams that look slow because their responses wait for memory of this process.
+#[tokio::test]
+async fn wait_for_memory_is_not_part_of_the_latency() {
+    let test = async |mut harness: Harness| {
+        let request = harness.submit();
+        let _stream = harness.accept_request(0, &request).await;
+        let pending = harness.engine.requests.get_mut(&request.id);
+        // The latency of requests with a key is recorded.
+        pending.expect("a request").shard = Some(0);
+        let result = AttemptResult {
+            memory_wait: LONG_TIMEOUT,
+            ..AttemptResult::from_outcome(AttemptOutcome::Error)
+        };
+        harness.engine.handle_event(EngineEvent::AttemptEnded {
+            id: request.id,
+            attempt: 0,
+            result,
+        });
+        let key_load = harness.engine.key_load.borrow();
+        let latencies: Vec<Duration> = key_load.values().copied().collect();
+        assert_eq!(latencies, [Duration::ZERO]);
+    };
+    with_harness(Effect::Safe, test).await;
+}
--- a/crates/data-plane/src/listener/tests.rs
+++ b/crates/data-plane/src/listener/tests.rs
@@ -293,3 +293,19 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against a queue that a few clients fill up while the listener is full: the system would drop the connection
+/// attempts of others.
+#[tokio::test]
+async fn many_clients_may_wait_to_be_accepted() {
+    let listener = super::bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let at = listener.local_addr().expect("an address");
+    let most = std::fs::read_to_string("/proc/sys/net/core/somaxconn");
+    let most = most.ok().and_then(|text| text.trim().parse().ok());
+    let mut clients = Vec::new();
+    for client in 0..most.unwrap_or(300).min(300) {
+        let connected = timeout(Duration::from_secs(30), TcpStream::connect(at)).await;
+        clients.push(connected.unwrap_or_else(|_| panic!("client {client} waits for the queue")));
+    }
+    assert!(clients.iter().all(Result::is_ok));
+}
--- a/crates/data-plane/tests/upstream_responses.rs
+++ b/crates/data-plane/tests/upstream_responses.rs
@@ -13,7 +13,7 @@
 use data_plane::headers::forward_response;
 use data_plane::runtime::upstream_protocol;
 use data_plane::upstream_pool::{
-    AttemptResult, ForwardedRequest, PoolConfig, Target, UpstreamPool,
+    AttemptObserver, AttemptResult, ForwardedRequest, PoolConfig, Target, UpstreamPool,
 };
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Uri};
@@ -694,3 +694,64 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+/// Records what is reported on an attempt.
+#[derive(Default)]
+struct RecordingObserver {
+    memory_waits: Cell<usize>,
+}
+
+impl AttemptObserver for &RecordingObserver {
+    fn may_send(&self) -> bool {
+        true
+    }
+
+    fn on_memory_wait(&self) {
+        self.memory_waits.set(self.memory_waits.get() + 1);
+    }
+}
+
+/// Guards against upstreams that are blamed for a lack of memory in this process.
+#[tokio::test]
+async fn memory_that_is_missing_for_a_response_is_no_fault_of_its_upstream() {
+    let at = responding_upstream(|_, head| {
+        response_text(head, "200 OK", "Upstream-Seal: s\r\n", &"x".repeat(600))
+    });
+    let run = async {
+        let pool = UpstreamPool::new(PoolConfig {
+            max_response_bytes: 1000,
+            ..pool_config(8)
+        });
+        let at = target(at);
+        let held = attempt(&pool, 1, &at, "a").await;
+        assert_eq!(held.outcome, AttemptOutcome::Ok);
+        let observer = RecordingObserver::default();
+        let forwarded = forward("b", Method::POST, 0);
+        let soon = Instant::now() + Duration::from_millis(500);
+        let late = pool.attempt(ServerId(1), &at, &forwarded, soon, &observer);
+        let late = late.await;
+        assert_eq!(
+            (late.outcome, observer.memory_waits.get()),
+            (AttemptOutcome::Cancelled, 1)
+        );
+        assert!(late.memory_wait > Duration::ZERO);
+        let waiting = async {
+            let deadline = Instant::now() + LONG_TIMEOUT;
+            let forwarded = forward("c", Method::POST, 0);
+            let attempt = pool.attempt(ServerId(1), &at, &forwarded, deadline, &observer);
+            attempt.await
+        };
+        let release = async {
+            while observer.memory_waits.get() < 2 {
+                tokio::task::yield_now().await;
+            }
+            drop(held);
+        };
+        let (served, ()) = tokio::join!(waiting, release);
+        assert_eq!(
+            (served.outcome, body(&served).len()),
+            (AttemptOutcome::Ok, 600)
+        );
+    };
+    LocalSet::new().run_until(run).await;
+}
--- a/crates/load-balancing/tests/balancer/faults.rs
+++ b/crates/load-balancing/tests/balancer/faults.rs
@@ -226,3 +226,47 @@
         "{sends_by_half:?}"
     );
 }
+
+#[test]
+fn delayed_responses_free_their_slots_and_are_never_overdue() {
+    // Regression: responses that waited for memory of the host kept their slots and became overdue. A few clients that
+    // read nothing then made all upstreams look unresponsive.
+    let mut w = World::with_servers(settings(), 1);
+    let sent = |w: &World| {
+        (0..1000)
+            .filter(|id| w.requests[id].attempts.len() == 1)
+            .count()
+    };
+    (0..1000).for_each(|id| w.request(id, 0));
+    let in_flight = sent(&w);
+    assert!(in_flight < 500, "{in_flight} were sent");
+    for id in 0..in_flight as u64 {
+        w.notify(Event::ResponseDelayed {
+            request: RequestId(id),
+            attempt: 0,
+        });
+    }
+    assert!(sent(&w) >= 2 * in_flight, "their slots are free");
+    let limits = |w: &World| w.balancer.upstream_limits(ServerId(0), Span(200 * MS));
+    let in_flight_before = limits(&w).expect("known").in_flight;
+    w.end_attempt(0, 0, AttemptOutcome::Cancelled);
+    assert_eq!(
+        limits(&w).expect("known").in_flight,
+        in_flight_before,
+        "a slot is released only once"
+    );
+
+    let mut w = World::with_servers(settings(), 2);
+    for id in 0..2 {
+        w.request(id, 0);
+        w.notify(Event::ResponseDelayed {
+            request: RequestId(id),
+            attempt: 0,
+        });
+    }
+    w.advance(Span(400 * MS));
+    (0..2).for_each(|id| w.end_attempt(id, 0, AttemptOutcome::Cancelled));
+    w.request(2, 2);
+    assert!(!w.is_rejected(2) && w.upstream_of(2).is_some());
+    assert_eq!(w.requests[&1].attempts.len(), 1, "there was no hedge");
+}
--- a/crates/load-balancing/tests/balancer/harness.rs
+++ b/crates/load-balancing/tests/balancer/harness.rs
@@ -159,7 +159,7 @@
         world
     }
 
-    fn notify(&mut self, event: Event) {
+    pub(crate) fn notify(&mut self, event: Event) {
         self.balancer.handle(self.now, event, &mut self.actions);
         self.apply_actions();
         for (id, attempt) in std::mem::take(&mut self.cancelled) {
