--- a/crates/data-plane/src/body.rs
+++ b/crates/data-plane/src/body.rs
@@ -26,7 +26,7 @@
 /// How often a body that waits for memory lets a slow reader be disconnected.
 const SHORTAGE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// How many bodies may wait for memory at once. Each of them occupies a connection and memory of its upstream.
+/// How many bodies may wait for memory simultaneously. Each of them occupies a connection and memory of its upstream.
 const MAX_WAITING_BODIES: usize = 64;
 
 /// Frees memory where it is short.
@@ -116,7 +116,7 @@
 }
 
 impl WaitingBody<'_> {
-    /// Has memory freed, and waits a moment for some to be released.
+    /// Has memory freed, and waits shortly for some to be released.
     pub async fn wait(&self) {
         if let Some(free_memory) = self.budget.on_shortage.get() {
             free_memory();
--- a/crates/data-plane/src/client_connections/connection.rs
+++ b/crates/data-plane/src/client_connections/connection.rs
@@ -220,14 +220,14 @@
                 ..
             }) => (EvictionOrder::Unused, began, EVICT_UNUSED_AFTER),
             State::KeepAlive(kept) if self.traffic.is_write_blocked() => {
-                let patience = shortage.patience(EVICT_UNREAD_AFTER);
+                let stall_timeout = shortage.stall_timeout(EVICT_UNREAD_AFTER);
                 let min_rate = shortage.min_rate(MIN_SEND_BYTES_PER_SECOND);
                 let since = if self.sending_rate(&kept, now) < min_rate {
                     kept.answered_at
                 } else {
                     self.last_written(&kept)
                 };
-                (EvictionOrder::UnreadResponse, since, patience)
+                (EvictionOrder::UnreadResponse, since, stall_timeout)
             }
             State::KeepAlive(_) => (EvictionOrder::Idle, self.idle_since()?, EVICT_IDLE_AFTER),
             State::RequestOpen | State::Evicted => return None,
--- a/crates/data-plane/src/client_connections/shortage.rs
+++ b/crates/data-plane/src/client_connections/shortage.rs
@@ -1,8 +1,8 @@
-//! How much patience is left with slow clients while others wait for a connection.
+//! Shortens the timeouts of slow clients while others wait for a connection.
 //!
 //! A fixed threshold does not suffice: clients that stay just within it would keep all connections. While a listener is
-//! full and nobody may be evicted, the level of the shortage rises, and each level halves the patience with clients. It
-//! falls as soon as clients no longer wait.
+//! full and nobody may be evicted, the level of the shortage rises, and each level halves the timeouts and doubles the
+//! rates that clients have to reach. It falls as soon as clients no longer wait.
 
 use std::cell::Cell;
 use std::time::Duration;
@@ -13,17 +13,17 @@
 const RISE_INTERVAL: Duration = Duration::from_millis(500);
 /// The highest level.
 const MAX_LEVEL: u32 = 12;
-/// The least patience: clients that are connected have at least this long for their next step.
-const MIN_PATIENCE: Duration = Duration::from_millis(250);
+/// The lower bound of shortened timeouts: a connected client always has this long for its next bytes.
+const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// The level of a shortage of connections; 0 if there is none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ShortageLevel(u32);
 
 impl ShortageLevel {
-    /// Returns how long a client may make no progress at this level, given the time without a shortage.
-    pub fn patience(self, without_shortage: Duration) -> Duration {
-        (without_shortage / (1 << self.0)).max(MIN_PATIENCE.min(without_shortage))
+    /// Returns how long a client may make no progress at this level, given the timeout without a shortage.
+    pub fn stall_timeout(self, without_shortage: Duration) -> Duration {
+        (without_shortage / (1 << self.0)).max(MIN_STALL_TIMEOUT.min(without_shortage))
     }
 
     /// Returns the rate that a client must reach at this level, given the one without a shortage.
--- a/crates/data-plane/src/client_connections/tests.rs
+++ b/crates/data-plane/src/client_connections/tests.rs
@@ -128,9 +128,8 @@
     assert!(!is_evicted(&slot).await);
 }
 
-/// Guards against clients that read nothing and thereby occupy every connection.
-#[tokio::test(start_paused = true)]
-async fn client_that_stopped_reading_is_evicted_for_another_one() {
+/// Returns the only connection of a listener, with a long idle timeout, whose client has just got its response.
+fn connection_with_response() -> (Rc<ClientConnections>, ConnectionSlot, Traffic) {
     let timeouts = ClientTimeouts {
         idle: Duration::from_secs(60),
         ..TIMEOUTS
@@ -139,6 +138,13 @@
     let traffic = Traffic::default();
     let slot = all.register(traffic.clone());
     slot.on_response();
+    (all, slot, traffic)
+}
+
+/// Guards against clients that read nothing and thereby occupy every connection.
+#[tokio::test(start_paused = true)]
+async fn client_that_stopped_reading_is_evicted_for_another_one() {
+    let (all, slot, traffic) = connection_with_response();
     traffic.record_write(&Poll::Pending);
     assert!(!has_ended(&slot).await);
     assert!(!all.evict_idle(), "the response has just been passed on");
@@ -190,18 +196,11 @@
     assert!(all.evict_slow_reader(), "its response is a second old");
 }
 
-/// Guards against clients that keep all connections because they stay just within every threshold: the patience with them
-/// shrinks while others wait, and recovers afterwards.
+/// Guards against clients that keep all connections because they stay just within every threshold: their timeouts are
+/// shortened while others wait, and recover afterwards.
 #[tokio::test(start_paused = true)]
-async fn patience_shrinks_while_nobody_can_be_evicted() {
-    let timeouts = ClientTimeouts {
-        idle: Duration::from_secs(60),
-        ..TIMEOUTS
-    };
-    let all = ClientConnections::new(1, 1, timeouts);
-    let traffic = Traffic::default();
-    let slot = all.register(traffic.clone());
-    slot.on_response();
+async fn timeouts_are_shortened_while_nobody_can_be_evicted() {
+    let (all, slot, traffic) = connection_with_response();
     let step = Duration::from_millis(500);
     let mut steps = 0;
     while !all.evict_idle() {
@@ -216,7 +215,7 @@
     assert!(is_evicted(&slot).await);
     assert!((2..20).contains(&steps), "evicted after {steps} steps");
     let level = all.shortage().level();
-    assert!(level.patience(EVICT_UNREAD_AFTER) < step);
+    assert!(level.stall_timeout(EVICT_UNREAD_AFTER) < step);
     for _ in 0..steps {
         all.shortage().on_no_client_waiting();
     }
--- a/crates/data-plane/src/listener.rs
+++ b/crates/data-plane/src/listener.rs
@@ -44,8 +44,8 @@
 /// The pause before the next attempt to accept while all slots are occupied. A client in the backlog waits a moment; a
 /// connection accepted without a free file descriptor would be dropped.
 const FULL_BACKOFF: Duration = Duration::from_millis(1);
-/// How many clients may wait to be accepted. While all slots are occupied, a shorter queue would soon be filled by clients
-/// that come in great numbers, and the system would drop the connection attempts of others.
+/// How many clients may wait to be accepted. While all slots are occupied, a shorter queue would soon be filled by a
+/// large number of clients, and the system would drop the connection attempts of others.
 const ACCEPT_BACKLOG: u32 = 1024;
 /// The pause after a stalled request was evicted: its response is written and its connection drained before the slot is
 /// free, and fewer requests than there are new clients would be spared without the pause.
--- a/crates/data-plane/src/request_memory.rs
+++ b/crates/data-plane/src/request_memory.rs
@@ -138,7 +138,7 @@
             if now >= until {
                 return Poll::Ready(Err(ReceiveError::TimedOut));
             }
-            // Each chunk polls this task: eviction and timer are told of it only once, which halves the time for a chunk.
+            // Registers with eviction and timer only once, since each chunk polls this task.
             if entry.body.evicted.register(cx.waker()) && deadline.as_mut().poll(cx).is_ready() {
                 return Poll::Ready(Err(ReceiveError::TimedOut));
             }
--- a/crates/data-plane/src/request_memory/eviction.rs
+++ b/crates/data-plane/src/request_memory/eviction.rs
@@ -37,7 +37,7 @@
 impl Candidate {
     /// Returns whether the body has stalled or arrives too slowly. Its rate counts once it has been received for `grace`.
     fn is_slow(&self, now: Instant, grace: Duration, shortage: ShortageLevel) -> bool {
-        let has_stalled = now >= self.last_progress + shortage.patience(STALLED_AFTER);
+        let has_stalled = now >= self.last_progress + shortage.stall_timeout(STALLED_AFTER);
         let min_rate = shortage.min_rate(MIN_RECEIVE_BYTES_PER_SECOND);
         let is_below_rate = || self.rate.bytes_per_second(now) < min_rate;
         has_stalled || now >= self.started_at + grace && is_below_rate()
--- a/crates/shorefront/tests/uncontrolled_clients/trickling.rs
+++ b/crates/shorefront/tests/uncontrolled_clients/trickling.rs
@@ -17,7 +17,7 @@
 
 /// More clients than a machine with few descriptors and its accept queue have room for.
 const CLIENTS: usize = 200;
-/// So many of them have begun before the balancer is checked: more than there are connections, so that none is free.
+/// The number of clients that have begun before the balancer is checked: more than there are connections, so that none is free.
 const BEGUN_CLIENTS: usize = 100;
 /// The time between two steps of a client, below every time after which a client counts as stalled.
 const SHORT_INTERVAL: Duration = Duration::from_millis(200);
@@ -26,7 +26,7 @@
 /// How many bytes a client reads at each step.
 const READ_BYTES: usize = 512;
 
-/// Lets clients trickle that never complete a request, and checks the balancer beside them.
+/// Lets clients trickle that never complete a request, and checks the balancer meanwhile.
 fn check_beside_trickling_requests(name: &str, trickle: &Trickle) {
     let _alone = run_alone();
     let ids = Arc::new(Mutex::new(HashSet::new()));
@@ -139,7 +139,7 @@
     deadline_ms: 60_000,
     target_ms: 10_000,
 };
-/// So many ordinary requests of each kind are sent one after the other beside a group.
+/// The number of ordinary requests of each kind that are sent one after the other beside a group.
 const REQUESTS_OF_EACH_KIND: usize = 20;
 
 /// Checks that each of many ordinary requests is answered.
--- a/crates/shorefront/tests/uncontrolled_clients/trickling_group.rs
+++ b/crates/shorefront/tests/uncontrolled_clients/trickling_group.rs
@@ -52,7 +52,7 @@
 }
 
 impl TricklingGroup {
-    /// Starts so many clients, and returns when `begun` of them have made their first steps.
+    /// Starts this number of clients, and returns when `begun` of them have made their first steps.
     pub(crate) fn start(at: SocketAddr, clients: usize, begun: usize, trickle: &Trickle) -> Self {
         let shared = Arc::<Shared>::default();
         let clients = (0..clients).map(|client| {
