--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod client;
 mod http;
 mod keyed_upstream;
+mod left_out;
 mod platform;
 mod proxy;
 mod read_back;
@@ -39,8 +40,8 @@
     let result = match case.as_str() {
         "twice" => renamed_route::run(Rule::Twice, trouble, &record),
         "refused" => renamed_route::run(Rule::Refused, trouble, &record),
-        "home" => renamed_route::run(Rule::Home, trouble, &record),
         "owner" => two_holders::run(trouble, &record),
+        "left-out" => left_out::run(trouble, &record),
         "read-back" => read_back::run(trouble, &record),
         _ => Err(format!("no case `{case}`")),
     };
--- a/review/stand-ins-2/src/read_back.rs
+++ b/review/stand-ins-2/src/read_back.rs
@@ -47,7 +47,7 @@
     };
     let listener = std::net::TcpListener::bind((ips[1], 0)).map_err(|e| e.to_string())?;
     let platform = listener.local_addr().map_err(|e| e.to_string())?;
-    platform::serve(listener, platform::List::default());
+    platform::serve(listener, platform::Platform::default());
     let mut system = System::new(
         folder.into(),
         ports,
--- a/review/stand-ins-2/src/system.rs
+++ b/review/stand-ins-2/src/system.rs
@@ -33,13 +33,17 @@
     pub region: String,
 }
 
-/// Processes that are killed when the case ends.
-pub struct Process(Child);
+/// A process, which is killed when the case ends.
+pub struct Process {
+    child: Child,
+    machine: usize,
+    role: String,
+}
 
 impl Drop for Process {
     fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
 
@@ -168,7 +172,25 @@
             .stderr(log)
             .spawn()?;
         self.record.say(&format!("started {role} on {name}"));
-        self.processes.push(Process(child));
+        self.processes.push(Process {
+            child,
+            machine,
+            role: role.into(),
+        });
+        Ok(())
+    }
+
+    /// Sends a signal (`STOP` or `CONT`) to a process that this case has started.
+    pub fn signal(&self, machine: usize, role: &str, signal: &str) -> io::Result<()> {
+        let of_machine = |p: &&Process| p.machine == machine && p.role == role;
+        for process in self.processes.iter().filter(of_machine) {
+            let id = process.child.id().to_string();
+            Command::new("kill")
+                .args([&format!("-{signal}"), &id])
+                .status()?;
+            let name = &self.machines[machine].name;
+            self.record.say(&format!("SIG{signal} to {role} on {name}"));
+        }
         Ok(())
     }
 
