--- a/review/stand-ins-2/src/two_holders.rs
+++ b/review/stand-ins-2/src/two_holders.rs
@@ -14,7 +14,9 @@
 use crate::record::Record;
 use crate::system::{Machine, System, create_folder, free_addresses, remove_folder};
 
-/// How long packets wait on the link to the upstream.
+/// The zone of the first upstream, in another region than everything else.
+const FIRST_ZONE: &str = "aqb-hall-a";
+/// How long packets wait on the link to that region.
 const DELAY_MS: u64 = 650;
 /// For how long they wait so (`link_squeeze`, `for_s`).
 const SLOW_FOR: Duration = Duration::from_millis(5000);
@@ -50,16 +52,21 @@
     /// Starts the system. `others` are upstreams of another service, which stand before the first one in the list.
     pub fn start(record: &Arc<Record>, others: usize) -> Result<Self, String> {
         let folder = create_folder("two-holders").map_err(|e| e.to_string())?;
-        let (ips, ports) = free_addresses(4);
-        if ips.len() < 4 {
+        let (ips, ports) = free_addresses(5);
+        if ips.len() < 5 {
             return Err("no free addresses".into());
         }
-        let zones = ["amn-hall-a", "amn-hall-b"];
-        let machines = zones.iter().enumerate().map(|(i, zone)| Machine {
+        // Nothing is started in the last zone, where the first upstream is.
+        let zones = [
+            ("amn-hall-a", "amman"),
+            ("amn-hall-b", "amman"),
+            (FIRST_ZONE, "aqaba"),
+        ];
+        let machines = zones.iter().enumerate().map(|(i, (zone, region))| Machine {
             name: format!("edge-{}", i + 1),
             ip: ips[i],
             zone: (*zone).into(),
-            region: "amman".into(),
+            region: (*region).into(),
         });
         let machines: Vec<Machine> = machines.collect();
         let bind = |ip| TcpListener::bind((ip, 0)).map_err(|e| e.to_string());
@@ -74,23 +81,23 @@
                 draining: false,
             });
         };
-        let listener = bind(ips[3])?;
+        let listener = bind(ips[4])?;
         let platform_addr = listener.local_addr().map_err(|e| e.to_string())?;
         for i in 0..others {
             // No route leads to this service, so nothing is sent to these.
-            list(format!("d-{i}"), "disburser", platform_addr, zones[0]);
+            list(format!("d-{i}"), "disburser", platform_addr, FIRST_ZONE);
         }
         let (mut upstreams, delay_ms) = (Vec::new(), Arc::new(AtomicU64::new(0)));
-        for (i, zone) in zones.iter().enumerate() {
+        for (i, zone) in [FIRST_ZONE, "amn-hall-b"].into_iter().enumerate() {
             let upstream = KeyedUpstream {
                 id: format!("i-{}", i + 1),
                 work: Duration::from_millis(150),
                 state: Arc::default(),
                 record: record.clone(),
             };
-            let mut addr = upstream.serve(bind(ips[2])?);
+            let mut addr = upstream.serve(bind(ips[3])?);
             if i == 0 {
-                let listener = bind(ips[2])?;
+                let listener = bind(ips[3])?;
                 let upstream = addr;
                 addr = listener.local_addr().map_err(|e| e.to_string())?;
                 proxy::serve(listener, upstream, delay_ms.clone());
@@ -177,9 +184,9 @@
     };
     thread::sleep(Duration::from_secs(4));
     let first = &stage.upstreams[0];
-    wait_for_renewal(first, Duration::ZERO, Duration::from_millis(60));
+    wait_for_renewal(first, stage.keys[0], Duration::ZERO);
     if trouble {
-        record.say("the link to upstream i-1 becomes slow");
+        record.say("the link to the region of upstream i-1 becomes slow");
         stage.delay_ms.store(DELAY_MS, SeqCst);
         let stage = stage.clone();
         thread::spawn(move || {
@@ -189,8 +196,8 @@
     }
     wait_for_renewal(
         first,
-        Duration::from_millis(1760),
-        Duration::from_millis(1860),
+        stage.keys[0],
+        renewed_after(stage.keys[0]) + Duration::from_millis(95),
     );
     let mut threads = Vec::new();
     for n in 0..24 {
@@ -201,7 +208,9 @@
     record.say(&format!(
         "upstream i-1 has sent {answers} answers, none of them followed by a surplus one"
     ));
-    let order = stage.system.order("/-/Drain.Begin/amn-hall-a", &[], "");
+    let order = stage
+        .system
+        .order(&format!("/-/Drain.Begin/{FIRST_ZONE}"), &[], "");
     if order.is_none_or(|answer| answer.status() != 200) {
         return Err("the evacuation was not acknowledged".into());
     }
@@ -230,14 +239,20 @@
     true
 }
 
-/// Waits, for a limited time, until the upstream's hold of its first keys was renewed that long ago. The link may become
-/// slow and the order come at any time; with these times, a renewal is on its way when the surplus answer is sent.
-fn wait_for_renewal(upstream: &KeyedUpstream, soonest: Duration, latest: Duration) {
+/// Returns how long after a grant of a range the leader sends the next one: a third of 5 s, and up to a quarter less.
+fn renewed_after(first_key: u16) -> Duration {
+    Duration::from_millis(1666 - 416 * u64::from(first_key) / 65_536)
+}
+
+/// Waits, for a limited time, until the grant of the range with this first key is that old. The link may become slow and
+/// the order come at any time; with these times, a grant is on its way when the surplus answer is sent.
+fn wait_for_renewal(upstream: &KeyedUpstream, first_key: u16, age: Duration) {
     let until = Instant::now() + Duration::from_secs(6);
+    let ages = age..age + Duration::from_millis(100);
     while Instant::now() < until {
         let state = upstream.state.lock().expect("the state");
-        let mut first = state.holds.iter().filter(|hold| hold.first == 0);
-        if first.any(|hold| (soonest..latest).contains(&hold.granted.elapsed())) {
+        let mut of_range = state.holds.iter().filter(|hold| hold.first == first_key);
+        if of_range.any(|hold| ages.contains(&hold.granted.elapsed())) {
             return;
         }
         drop(state);
