--- a/review/stand-ins-2/src/system.rs
+++ b/review/stand-ins-2/src/system.rs
@@ -188,9 +188,9 @@
     pub fn signal(&self, machine: usize, role: &str, signal: &str) -> io::Result<()> {
         let of_machine = |p: &&Process| p.machine == machine && p.role == role;
         for process in self.processes.iter().filter(of_machine) {
-            let id = process.child.id().to_string();
-            Command::new("kill")
-                .args([&format!("-{signal}"), &id])
+            let id = process.child.id();
+            Command::new("sh")
+                .args(["-c", &format!("kill -{signal} {id}")])
                 .status()?;
             let name = &self.machines[machine].name;
             self.record.say(&format!("SIG{signal} to {role} on {name}"));
