--- a/crates/data-plane/src/engine.rs
+++ b/crates/data-plane/src/engine.rs
@@ -211,7 +211,7 @@
                 forwarded,
                 reply,
             } => {
-                self.on_request(id, service, &request, forwarded, reply);
+                self.on_request(id, service, request, forwarded, reply);
             }
             EngineEvent::ClientDisconnected(id) => self.on_client_disconnect(id),
             EngineEvent::AttemptEnded {
--- a/crates/data-plane/src/engine/attempts.rs
+++ b/crates/data-plane/src/engine/attempts.rs
@@ -61,7 +61,7 @@
         let Some(service) = self.services.get(request.service) else {
             return;
         };
-        let is_over = !request.awaits_reply() || index >= service.max_attempts || now >= deadline;
+        let is_over = !request.awaits_reply() || index >= request.max_attempts || now >= deadline;
         let is_disallowed_hedge = request.unreported_attempts() > 0 && !service.hedging;
         let mut attempt = Attempt::new(server, now);
         let target = service.upstreams.target(server);
--- a/crates/data-plane/src/engine/handle.rs
+++ b/crates/data-plane/src/engine/handle.rs
@@ -3,11 +3,12 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
 use hyper::Response;
-use load_balancing::interface::{MembershipKind, RequestId, Settings, Span, Status};
+use load_balancing::interface::{MembershipKind, RequestClass, RequestId, Settings, Span, Status};
 use protocol::key_ranges::KeyRangeRow;
 use rustc_hash::FxHashMap;
 use tokio::sync::{mpsc, oneshot};
@@ -103,6 +104,9 @@
 pub struct IncomingRequest {
     /// Index of the request class in the service's settings.
     pub class: usize,
+    /// The request class as of when the request was accepted, which the settings may no longer contain; `None` for the
+    /// class that has the index when the engine receives the request.
+    pub accepted_class: Option<Arc<RequestClass>>,
     /// Index of the tenant in the service's settings.
     pub tenant: usize,
     /// Hash of the routing key, if the request has one.
--- a/crates/data-plane/src/engine/pending_request.rs
+++ b/crates/data-plane/src/engine/pending_request.rs
@@ -28,6 +28,8 @@
     pub(super) disconnected_at: Option<Instant>,
     /// When the attempts end at the latest; earlier than the client's deadline.
     pub(super) deadline: Instant,
+    /// Maximum number of attempts, as of when the request arrived.
+    pub(super) max_attempts: usize,
     pub(super) attempts: Vec<Attempt>,
     /// Outcome of the attempt that ended most recently.
     pub(super) last_outcome: Option<AttemptOutcome>,
@@ -77,6 +79,7 @@
         forwarded: ForwardedRequest,
         reply: oneshot::Sender<EngineReply>,
         deadline: Instant,
+        max_attempts: usize,
     ) -> Self {
         Self {
             service,
@@ -86,6 +89,7 @@
             is_awaited: Rc::new(Cell::new(true)),
             disconnected_at: None,
             deadline,
+            max_attempts,
             attempts: Vec::new(),
             last_outcome: None,
             may_have_run: false,
--- a/crates/data-plane/src/engine/requests.rs
+++ b/crates/data-plane/src/engine/requests.rs
@@ -24,17 +24,25 @@
         &mut self,
         id: RequestId,
         service: usize,
-        incoming: &IncomingRequest,
+        incoming: IncomingRequest,
         forwarded: ForwardedRequest,
         reply: oneshot::Sender<EngineReply>,
     ) {
         let deadline = incoming.deadline - self.config.headroom;
-        let pending = PendingRequest::new(service, incoming.shard, forwarded, reply, deadline);
+        let max_attempts = self.max_attempts(service, &incoming);
+        let pending = PendingRequest::new(
+            service,
+            incoming.shard,
+            forwarded,
+            reply,
+            deadline,
+            max_attempts,
+        );
         self.requests.insert(id, pending);
         self.timers
             .push(incoming.deadline - DEADLINE_MARGIN, Timer::Deadline(id));
         let request = Request {
-            class: incoming.class,
+            accepted_class: incoming.accepted_class,
             tenant: incoming.tenant,
             key: incoming.key,
             shard: incoming.shard,
@@ -45,6 +53,13 @@
         self.dispatch(service, Event::Request(request));
     }
 
+    /// Returns the maximum number of attempts of a request, which later settings don't change.
+    fn max_attempts(&self, service: usize, incoming: &IncomingRequest) -> usize {
+        let site_limit = self.services.get(service).map_or(0, |s| s.max_attempts);
+        let class = incoming.accepted_class.as_ref();
+        class.map_or(site_limit, |class| class.max_attempts_within(site_limit))
+    }
+
     /// Handles the disconnect of a client that awaits a reply.
     pub(super) fn on_client_disconnect(&mut self, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else {
--- a/crates/data-plane/src/engine/tests.rs
+++ b/crates/data-plane/src/engine/tests.rs
@@ -1,6 +1,8 @@
 //! Tests which reply a request gets for each order in which responses, cancellations, deadlines and disconnects can
 //! occur.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
@@ -109,6 +111,7 @@
         let deadline = Instant::now() + LONG_TIMEOUT;
         let request = IncomingRequest {
             class: 0,
+            accepted_class: None,
             tenant: 0,
             key: None,
             shard: None,
@@ -499,8 +502,9 @@
     let test = async |mut harness: Harness| {
         // Only the upstreams of a cell recognize a repeat, so that a client must not repeat the request itself.
         let mut settings = settings(Effect::Keyed);
-        settings.classes[0].dedup_group = DedupGroup::Cell;
-        settings.classes[0].dedup_window = Span(LONG_TIMEOUT.as_micros() as i64);
+        let class = Arc::make_mut(&mut settings.classes[0]);
+        class.dedup_group = DedupGroup::Cell;
+        class.dedup_window = Span(LONG_TIMEOUT.as_micros() as i64);
         let applied = harness.engine.apply_settings(0, settings);
         applied.expect("valid settings");
         let mut request = harness.submit();
--- a/crates/data-plane/src/routes.rs
+++ b/crates/data-plane/src/routes.rs
@@ -8,7 +8,7 @@
 //! - `client_deadline`: determines the client's deadline and whether the client has probably sent the request before.
 //! - `watch_updates`: the state received from the control plane, with its versions.
 //! - `configuration`: applies a configuration and derives the settings of each service.
-//! - `services`: services and their request classes, with stable indexes.
+//! - `services`: services, with stable indexes, and `class_table`: their request classes.
 //! - `membership`: sends upstreams and key ranges to the engine.
 //!
 //! **State.** The balancer's copy of the replicated state. It is kept only in memory and changed only by watch updates.
@@ -19,6 +19,7 @@
 //! **Failures.** Without the control plane, the state stays as last received. A balancer that has received nothing yet
 //! refuses requests with a `Retry-After`.
 
+mod class_table;
 mod client_deadline;
 mod configuration;
 mod membership;
--- a/crates/data-plane/src/routes/configuration.rs
+++ b/crates/data-plane/src/routes/configuration.rs
@@ -7,6 +7,7 @@
 use protocol::config::{Config, RequestKind, Route};
 use protocol::wire::FleetView;
 
+use super::class_table::RouteKey;
 use super::client_deadline::MaxDeadline;
 use super::route_table::{ActiveRoute, Split};
 use super::services::{Service, ServiceTable};
@@ -16,6 +17,8 @@
 /// The minimum interval of the periodic work of each service's balancer, which limits the CPU use: a process may have
 /// only a fifth of a core.
 const MIN_TICK: Duration = Duration::from_millis(25);
+/// The number of attempts that no request exceeds; the limit of its route is at most as high.
+const MAX_ATTEMPTS: usize = u32::MAX as usize;
 /// The value of a late response. It is worth less than a timely one, but the requirements don't specify how much less.
 const LATE_VALUE: f64 = 0.3;
 /// The route's latency target divided by this is the margin by which a deadline has to be shorter than the longest one
@@ -34,7 +37,7 @@
         );
         {
             let mut services = self.services.borrow_mut();
-            services.update(&config.services);
+            services.update(config);
             let routes = config.routes.iter();
             self.route_table
                 .replace(routes.map(|r| (r.host.as_str(), self.active_route(r, &mut services))));
@@ -51,15 +54,17 @@
     /// Returns the entry of a route for the route table, and activates its request class in each of its services.
     fn active_route(&self, route: &Route, services: &mut ServiceTable) -> ActiveRoute {
         let class = self.request_class(route);
+        let key = RouteKey::of(route);
         let mut splits = Vec::new();
         for (name, weight) in route.weighted_services() {
             let Some(service) = services.index_of(name) else {
                 continue;
             };
-            let class = services.get_mut(service).set_class(&route.name, &class);
+            let state = services.get_mut(service);
             splits.push(Split {
                 service,
-                class,
+                class: state.classes.set(&key, &class),
+                is_sharded: state.is_sharded,
                 weight,
             });
         }
@@ -92,17 +97,16 @@
 
     /// Returns the settings of a service's balancer in a fleet of this size.
     fn service_settings(&self, service: &Service, fleet: FleetView) -> ServiceSettings {
-        let classes = service.classes.clone();
-        let attempts = classes.iter().filter_map(|c| c.max_attempts).max();
+        let classes = service.classes.classes();
         let longest_deadline = classes.iter().map(|c| c.deadline).max();
-        let mut settings = ServiceSettings::basic(classes);
+        let mut settings = ServiceSettings::basic(classes.iter().cloned());
         settings.balancers = fleet.balancers;
         settings.position = fleet.position;
         settings.zones = self.topology.zones.len() as u32;
         settings.zone = self.topology.own_zone;
         settings.zone_distances = self.topology.distances();
         settings.tick = Span(MIN_TICK.as_micros() as i64);
-        settings.limits.max_attempts = attempts.unwrap_or(1);
+        settings.limits.max_attempts = MAX_ATTEMPTS;
         settings.limits.hedging = true;
         settings.limits.cancel = true;
         settings.limits.retry_after = true;
@@ -139,7 +143,7 @@
             if settings.classes.is_empty() {
                 // No route has used the service yet, but the settings need a class.
                 let placeholder = RequestClass::safe(Span(1_000_000), Span(1_000_000));
-                settings.classes.push(placeholder);
+                settings.classes.push(placeholder.into());
             }
             self.engine.send_event(EngineEvent::SettingsChanged {
                 service: index,
--- a/crates/data-plane/src/routes/request.rs
+++ b/crates/data-plane/src/routes/request.rs
@@ -1,6 +1,8 @@
 //! Processes a request from its head to its response: checks that the request is unambiguous, finds its route, reads
 //! its body within the limits, submits it to the engine, and converts the result into a response.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue, TRANSFER_ENCODING};
@@ -176,15 +178,16 @@
             .request_memory
             .receive(body, max_body_bytes, until)
             .await?;
-        let Split { service, class, .. } = self
+        let split = self
             .route_table
             .next_split(route)
             .ok_or(RequestError::NoService)?;
         let request = IncomingRequest {
-            class,
+            class: split.class.index,
+            accepted_class: Some(Arc::clone(&split.class.class)),
             tenant: 0,
             key: None,
-            shard: self.shard_key(service, &head),
+            shard: shard_key(split, &head),
             deadline: until,
             estimated_work: None,
             is_client_retry: is_resent,
@@ -196,16 +199,16 @@
             headers: forward_request_headers(head.headers, body.len()),
             body,
         };
-        let reply = self.engine.submit(service, request, forwarded).await;
+        let reply = self.engine.submit(split.service, request, forwarded).await;
         into_result(reply, &method)
     }
+}
 
-    /// Returns the key of a request if its service is sharded.
-    fn shard_key(&self, service: usize, head: &Parts) -> Option<u16> {
-        let value = head.headers.get(SHARD_KEY)?;
-        let key = value.to_str().ok()?.trim().parse().ok();
-        key.filter(|_| self.services.borrow().get(service).is_sharded)
-    }
+/// Returns the key of a request if its service was sharded when the request was accepted.
+fn shard_key(split: &Split, head: &Parts) -> Option<u16> {
+    let value = head.headers.get(SHARD_KEY)?;
+    let key = value.to_str().ok()?.trim().parse().ok();
+    key.filter(|_| split.is_sharded)
 }
 
 /// Checks that the head of a request is unambiguous, so that every upstream interprets it in the same way.
--- a/crates/data-plane/src/routes/route_table.rs
+++ b/crates/data-plane/src/routes/route_table.rs
@@ -8,6 +8,7 @@
 
 use rustc_hash::FxHashMap;
 
+use super::class_table::IndexedClass;
 use super::client_deadline::MaxDeadline;
 use crate::metrics::RouteMetrics;
 
@@ -26,12 +27,13 @@
 }
 
 /// One of the services that share a route.
-#[derive(Clone, Copy)]
 pub(super) struct Split {
     /// The index in the service table.
     pub(super) service: usize,
-    /// The index of the route's class in that service.
-    pub(super) class: usize,
+    /// The route's class in that service, as of this configuration.
+    pub(super) class: IndexedClass,
+    /// Whether the service is sharded in this configuration.
+    pub(super) is_sharded: bool,
     pub(super) weight: u32,
 }
 
@@ -72,7 +74,7 @@
 
     /// Selects the service of a route for the next request. Requests are distributed evenly according to the weights.
     /// Returns `None` if all weights are 0.
-    pub(super) fn next_split(&self, route: &ActiveRoute) -> Option<Split> {
+    pub(super) fn next_split<'a>(&self, route: &'a ActiveRoute) -> Option<&'a Split> {
         let total: u64 = route.splits.iter().map(|s| u64::from(s.weight)).sum();
         if total == 0 {
             return None;
@@ -84,7 +86,7 @@
         let mut at = ((u128::from(position) * u128::from(total)) >> 32) as u64;
         for split in &route.splits {
             if at < u64::from(split.weight) {
-                return Some(*split);
+                return Some(split);
             }
             at -= u64::from(split.weight);
         }
--- a/crates/data-plane/src/routes/services.rs
+++ b/crates/data-plane/src/routes/services.rs
@@ -1,11 +1,12 @@
-//! The services and their request classes. Indexes are never reused during the life of the process: the engine
-//! identifies services and classes by them, and a response may arrive after the configuration has been replaced.
+//! The services and their request classes. The index of a service is never reused during the life of the process: the
+//! engine identifies services by it, and a response may arrive after the configuration has been replaced.
 
 use std::time::Duration;
 
-use load_balancing::interface::RequestClass;
 use protocol::config;
-use rustc_hash::FxHashMap;
+use rustc_hash::FxHashSet;
+
+use super::class_table::{ClassTable, RouteKey};
 
 /// The maximum duration of a service's slow start, in seconds: one day.
 const MAX_SLOW_START_S: f64 = 86_400.0;
@@ -13,9 +14,7 @@
 /// A service with one request class per route.
 pub(super) struct Service {
     pub(super) name: String,
-    /// A class for each route that the service ever had; retired while the route is not active.
-    pub(super) classes: Vec<RequestClass>,
-    class_by_route: FxHashMap<String, usize>,
+    pub(super) classes: ClassTable,
     pub(super) slow_start: Duration,
     pub(super) slow_start_rate_per_s: f64,
     /// Whether the service is sharded: each of its keys is owned by certain upstreams.
@@ -26,25 +25,12 @@
     fn new(name: String) -> Self {
         Self {
             name,
-            classes: Vec::new(),
-            class_by_route: FxHashMap::default(),
+            classes: ClassTable::default(),
             slow_start: Duration::ZERO,
             slow_start_rate_per_s: 0.0,
             is_sharded: false,
         }
     }
-
-    /// Sets the class of a route and returns its index.
-    pub(super) fn set_class(&mut self, route: &str, class: &RequestClass) -> usize {
-        if let Some(&known) = self.class_by_route.get(route) {
-            self.classes[known].clone_from(class);
-            return known;
-        }
-        let index = self.classes.len();
-        self.classes.push(class.clone());
-        self.class_by_route.insert(route.to_string(), index);
-        index
-    }
 }
 
 /// All services that were ever configured, by index.
@@ -52,10 +38,10 @@
 pub(super) struct ServiceTable(Vec<Service>);
 
 impl ServiceTable {
-    /// Applies the services of a configuration. Services that it does not contain are kept. All classes are retired
-    /// until [`Service::set_class`] sets them again.
-    pub(super) fn update(&mut self, services: &[config::Service]) {
-        for settings in services {
+    /// Applies the services of a configuration. Services that it does not contain are kept. The classes of routes that
+    /// a service no longer has are retired.
+    pub(super) fn update(&mut self, config: &config::Config) {
+        for settings in &config.services {
             let index = self.index_of(&settings.name).unwrap_or_else(|| {
                 self.0.push(Service::new(settings.name.clone()));
                 self.0.len() - 1
@@ -66,11 +52,16 @@
             service.slow_start_rate_per_s = settings.warmup_per_s;
             service.is_sharded = settings.sharded;
         }
-        for service in &mut self.0 {
-            for class in &mut service.classes {
-                class.retired = true;
+        let mut active = vec![FxHashSet::default(); self.0.len()];
+        for route in &config.routes {
+            let services = route.weighted_services().into_iter();
+            for service in services.filter_map(|(name, _)| self.index_of(name)) {
+                active[service].insert(RouteKey::of(route));
             }
         }
+        for (service, active) in self.0.iter_mut().zip(&active) {
+            service.classes.retire_all_but(active);
+        }
     }
 
     pub(super) fn index_of(&self, name: &str) -> Option<usize> {
--- a/crates/data-plane/src/routes/tests.rs
+++ b/crates/data-plane/src/routes/tests.rs
@@ -129,15 +129,16 @@
             if !late {
                 current = config;
             }
-            let active = |s: &services::Service| s.classes.iter().filter(|c| !c.retired).count();
+            let classes = |s: &services::Service| s.classes.classes().to_vec();
+            let active = |s| classes(s).iter().filter(|class| !class.retired).count();
             let splits: usize = current
                 .routes
                 .iter()
                 .map(|r| r.weighted_services().len())
                 .sum();
-            let classes: usize = routes.services.borrow().iter().map(active).sum();
+            let active: usize = routes.services.borrow().iter().map(active).sum();
             assert_eq!(
-                classes, splits,
+                active, splits,
                 "round {round}: one active class per split and no others"
             );
             for place in 0..44 {
@@ -148,7 +149,9 @@
                 let actual = found.as_ref().map(|route| {
                     let name = |split: &Split| {
                         let service = services.get(split.service);
-                        assert!(!service.classes[split.class].retired, "the class is active");
+                        let class = &service.classes.classes()[split.class.index];
+                        assert!(!class.retired, "the class is active");
+                        assert!(Arc::ptr_eq(class, &split.class.class));
                         service.name.as_str()
                     };
                     let names = route.splits.iter().map(name).collect();
--- a/crates/data-plane/tests/model/attempts.rs
+++ b/crates/data-plane/tests/model/attempts.rs
@@ -360,6 +360,7 @@
     ) -> EngineReply {
         let arrival = IncomingRequest {
             class: 0,
+            accepted_class: None,
             tenant: 0,
             key: None,
             shard: None,
--- a/crates/data-plane/tests/model/scripted_upstream.rs
+++ b/crates/data-plane/tests/model/scripted_upstream.rs
@@ -296,6 +296,12 @@
 }
 
 impl Request {
+    /// Returns the number of the upstream that the request is meant for.
+    pub(crate) fn upstream(&self) -> usize {
+        let number = self.target.split('-').nth(1);
+        number.and_then(|n| n.parse().ok()).expect("a target")
+    }
+
     fn parse(head: &[u8]) -> Option<Self> {
         let text = std::str::from_utf8(head).ok()?;
         let mut lines = text.split("\r\n");
--- a/crates/data-plane/tests/upstream_responses.rs
+++ b/crates/data-plane/tests/upstream_responses.rs
@@ -644,6 +644,7 @@
 fn incoming_request() -> IncomingRequest {
     IncomingRequest {
         class: 0,
+        accepted_class: None,
         tenant: 0,
         key: None,
         shard: None,
--- a/crates/load-balancing/src/interface/events.rs
+++ b/crates/load-balancing/src/interface/events.rs
@@ -92,7 +92,7 @@
 }
 
 /// Something that has happened. The host passes events in the order in which they occurred.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub enum Event<'a> {
     /// The list of upstreams, or a change to it.
     Membership {
--- a/crates/load-balancing/src/interface/requests.rs
+++ b/crates/load-balancing/src/interface/requests.rs
@@ -1,18 +1,24 @@
 //! Requests, as the host passes them to the balancer.
 
-use super::{Span, Time};
+use std::sync::Arc;
+
+use super::{RequestClass, Span, Time};
 
 /// The host's handle for a request; not reused while the request or one of its attempts is in progress.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestId(pub u64);
 
 /// A request that has arrived.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Request {
     /// The host's handle.
     pub id: RequestId,
     /// Index of its class in [`Settings::classes`](super::Settings::classes).
     pub class: usize,
+    /// Its class as it was when the host accepted the request; `None` for the class that has the index now. Whether,
+    /// where, how often and until when the request may be sent depends on this class until the request ends, whatever
+    /// the settings become. The index may have been given to another class since.
+    pub accepted_class: Option<Arc<RequestClass>>,
     /// Index of its tenant in [`Settings::tenants`](super::Settings::tenants).
     pub tenant: usize,
     /// Hash of its routing key, if it has one.
@@ -35,6 +41,7 @@
         Self {
             id,
             class,
+            accepted_class: None,
             tenant: 0,
             key: None,
             deadline,
--- a/crates/load-balancing/src/interface/settings.rs
+++ b/crates/load-balancing/src/interface/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of a balancer: request classes, tenants, limits, rules and prices of its site.
 
+use std::sync::Arc;
+
 use super::Span;
 
 /// Effect of running a request more than once.
@@ -24,9 +26,13 @@
     Cell,
 }
 
-/// A class of requests.
-#[derive(Clone, Debug)]
+/// A class of requests. What it allows for a request is fixed when the request is accepted: see
+/// [`Request::accepted_class`](super::Request::accepted_class).
+#[derive(Clone, Debug, PartialEq)]
 pub struct RequestClass {
+    /// Identifies the class among those that have the same index one after the other. Estimates are kept for an index
+    /// while its class has the same id, whatever else changes. 0 where indexes are never reused.
+    pub id: u64,
     /// An answer within this time earns the full value.
     pub latency_target: Span,
     /// Longest time that a client waits.
@@ -65,6 +71,7 @@
     /// Returns an idempotent class of value 1 with this latency target and deadline.
     pub fn safe(latency_target: Span, deadline: Span) -> Self {
         Self {
+            id: 0,
             latency_target,
             deadline,
             value: 1.0,
@@ -81,6 +88,12 @@
             retired: false,
         }
     }
+
+    /// Returns the maximum number of attempts per request at a site with this limit.
+    pub fn max_attempts_within(&self, site_limit: usize) -> usize {
+        let own_limit = self.max_attempts.unwrap_or(site_limit);
+        own_limit.min(site_limit)
+    }
 }
 
 /// A tenant and its quota.
@@ -194,8 +207,8 @@
 /// Settings of a balancer, passed at its start and when it is reconfigured.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// Request classes, by index.
-    pub classes: Vec<RequestClass>,
+    /// Request classes, by index. Shared with the requests that were accepted with them.
+    pub classes: Vec<Arc<RequestClass>>,
     /// Tenants, by index; may be empty.
     pub tenants: Vec<Tenant>,
     /// Balancers in the fleet, this one included.
@@ -241,9 +254,9 @@
 impl Settings {
     /// Returns settings for one balancer in one zone with these classes, three attempts per request, and no further
     /// rules or prices.
-    pub fn basic(classes: Vec<RequestClass>) -> Self {
+    pub fn basic(classes: impl IntoIterator<Item = impl Into<Arc<RequestClass>>>) -> Self {
         Self {
-            classes,
+            classes: classes.into_iter().map(Into::into).collect(),
             tenants: Vec::new(),
             balancers: 1,
             position: 0,
@@ -350,7 +363,7 @@
     /// A latency target or deadline is not above zero, so no answer could meet it.
     #[error("class {0}: latency target and deadline must be above zero")]
     InvalidLatencyTarget(usize),
-    /// Classes were removed. Open requests refer to their class by index, so a class must not be removed.
+    /// Classes were removed. Estimates are kept by index, so the number of classes must not decrease.
     #[error("there are fewer classes than the {0} of the previous settings")]
     FewerClasses(usize),
 }
--- a/crates/load-balancing/src/policy/admission.rs
+++ b/crates/load-balancing/src/policy/admission.rs
@@ -6,6 +6,8 @@
 //! starve those with short ones. Classes with a low value per unit of work may use only part of that wait, and tenants
 //! over their quota none of it.
 
+use std::sync::Arc;
+
 use super::Balancer;
 use super::state::request::PendingRequest;
 use crate::interface::{Action, Request, RequestClass, RequestId, Span, Time};
@@ -25,7 +27,8 @@
 impl Balancer {
     /// Handles a new client request: sends, queues or rejects it.
     pub(super) fn on_request(&mut self, now: Time, request: &Request, actions: &mut Vec<Action>) {
-        let Some(class) = self.settings.classes.get(request.class) else {
+        let accepted_class = request.accepted_class.as_ref();
+        let Some(class) = accepted_class.or(self.settings.classes.get(request.class)) else {
             actions.push(Action::Reject {
                 request: request.id,
                 retry_after: Span(0),
@@ -35,8 +38,18 @@
         if self.requests.contains_key(&request.id) {
             return;
         }
-        let pending = self.pending_request(now, request, class);
-        let queue_until = pending.queue_until;
+        let class = Arc::clone(class);
+        let class_index = self.index_of_class(request.class, &class);
+        // A request over quota may not use any of the queue wait: otherwise a tenant that sent three times its quota
+        // took other tenants' share while the upstreams were full.
+        let is_within_quota = self.is_within_quota(now, request.tenant);
+        let queue_share = if is_within_quota {
+            self.queue_share(&class, class_index)
+        } else {
+            0.0
+        };
+        let pending = self.pending_request(now, request, class_index, class);
+        let (queue_until, pool) = (pending.queue_until, pending.pool);
         let ahead = pending
             .ordering_key
             .and_then(|key| self.ordered_queues.get(&key))
@@ -44,11 +57,9 @@
         let rules = &self.settings.rules;
         self.fleet.retry_budget.count_request(now, rules);
         self.requests.insert(request.id, pending);
-        let is_within_quota = self.is_within_quota(now, request.tenant);
-        let wait_for_turn = ahead as f64 * self.fleet.classes[request.class].mean;
+        let wait_for_turn = ahead as f64 * self.fleet.class(class_index).mean;
         let starts_at = now.plus(Span::from_micros(wait_for_turn));
-        if starts_at >= queue_until
-            || !self.is_admitted(request.class, is_within_quota, request.is_client_retry)
+        if starts_at >= queue_until || !self.is_admitted(pool, queue_share, request.is_client_retry)
         {
             self.reject(request.id, actions);
             return;
@@ -62,17 +73,21 @@
     }
 
     fn pending_request(
-        &self,
+        &mut self,
         now: Time,
         request: &Request,
-        class: &RequestClass,
+        class_index: Option<usize>,
+        class: Arc<RequestClass>,
     ) -> PendingRequest {
+        let pool = self.pool_of_class(&class);
         let target = request.deadline.min(now.plus(class.latency_target));
         // A request is queued only while it can still meet its latency target, even if a late answer keeps some value.
         // Otherwise the whole queue would be served late during sustained overload.
-        let margin = Span(-SWEEPS_BEFORE_TARGET * self.settings.sweep_interval().0);
+        let margin = Span(-SWEEPS_BEFORE_TARGET * self.sweep_interval.0);
         PendingRequest {
-            class: request.class,
+            class_index,
+            pool,
+            max_attempts: class.max_attempts_within(self.settings.limits.max_attempts),
             deadline: request.deadline,
             value_until: if class.late_value > 0.0 {
                 request.deadline
@@ -85,19 +100,14 @@
             attempts: Vec::new(),
             ordering_key: request.key.filter(|_| class.in_order),
             shard: request.shard,
+            class,
         }
     }
 
     /// Applies the admission check: the number of queued and in-flight requests must stay below the sum of N_i.
-    fn is_admitted(&self, class: usize, is_within_quota: bool, is_client_retry: bool) -> bool {
-        // A request over quota may not use any of the queue wait: otherwise a tenant that sent three times its quota
-        // took other tenants' share while the upstreams were full.
-        let queue_share = if is_within_quota {
-            self.queue_share(class)
-        } else {
-            0.0
-        };
-        let pool = self.capacity.of_class(class);
+    /// `queue_share` is the share of the maximum queue wait that the request may use.
+    fn is_admitted(&self, pool: usize, queue_share: f64, is_client_retry: bool) -> bool {
+        let pool = &self.capacity.pools[pool];
         let qos_time = self.fleet.service_time + self.fleet.max_queue_wait * queue_share;
         let mut limit = pool.admission_limit_per_us * qos_time;
         // The burst headroom is reserved for first tries. During overload it was used up by clients' retries, which are
@@ -113,17 +123,18 @@
     /// Returns the share of the maximum queue wait that a class may use, by the rank of its value per unit of work
     /// among the classes with comparable traffic. When all classes were ranked, a route that carried all the traffic
     /// got the smallest share because of routes that were hardly used.
-    fn queue_share(&self, class: usize) -> f64 {
+    fn queue_share(&self, class: &RequestClass, index: Option<usize>) -> f64 {
         let fleet = &self.fleet;
         let value_of_work =
-            |c: usize| self.settings.classes[c].value / fleet.classes[c].mean.max(1.0);
-        let own_value = value_of_work(class);
-        let least_share = fleet.class_share[class] * MIN_RIVAL_SHARE;
+            |class: &RequestClass, index| class.value / fleet.class(index).mean.max(1.0);
+        let own_value = value_of_work(class, index);
+        let own_share = index.map_or(0.0, |index| fleet.class_share[index]);
+        let least_share = own_share * MIN_RIVAL_SHARE;
         let (mut rivals, mut below) = (0_usize, 0_usize);
-        for rival in 0..fleet.class_share.len() {
+        for (rival, class) in self.settings.classes.iter().enumerate() {
             if fleet.class_share[rival] > least_share {
                 rivals += 1;
-                below += usize::from(value_of_work(rival) < own_value);
+                below += usize::from(value_of_work(class, Some(rival)) < own_value);
             }
         }
         let rank = if rivals <= 1 {
--- a/crates/load-balancing/src/policy/attempts.rs
+++ b/crates/load-balancing/src/policy/attempts.rs
@@ -4,7 +4,6 @@
 use super::Balancer;
 use super::state::circuit_breaker::CircuitBreaker;
 use super::state::request::{Attempt, AttemptId, AttemptState, PendingRequest};
-use super::state::upstream::Upstream;
 use super::state::upstream_table::UpstreamIndex;
 use crate::interface::{
     Action, AttemptOutcome, AttemptResult, DedupGroup, Effect, RequestClass, RequestId, Status,
@@ -34,20 +33,9 @@
             && self.slow_start_allows(now, &self.upstreams[upstream])
     }
 
-    /// Returns whether an upstream is in the zones and of the machine types that a class is bound to. Every upstream
-    /// is allowed for `None`.
-    pub(super) fn is_allowed_for(&self, class: Option<usize>, upstream: &Upstream) -> bool {
-        let Some(class) = class.map(|class| &self.settings.classes[class]) else {
-            return true;
-        };
-        let is_allowed =
-            |allowed: &Option<Vec<u32>>, i: &u32| allowed.as_ref().is_none_or(|a| a.contains(i));
-        is_allowed(&class.zones, &upstream.zone) && is_allowed(&class.kinds, &upstream.kind)
-    }
-
     /// Returns whether a request may be sent to this upstream, ignoring its key's turn and slow start, which only delay
     /// it. Checks draining, zone and machine type bindings, the deadline, the number of attempts, the retry budget, the
-    /// conditions for hedging and the effect of the request.
+    /// conditions for hedging and the effect of the request, all by the class that it was accepted with.
     pub(super) fn is_eligible(
         &self,
         now: Time,
@@ -55,17 +43,13 @@
         upstream: UpstreamIndex,
     ) -> bool {
         let target = &self.upstreams[upstream];
-        if target.status != Status::Live || !self.is_allowed_for(Some(request.class), target) {
+        if target.status != Status::Live || !target.is_allowed_for(&request.class) {
             return false;
         }
         let limits = &self.settings.limits;
-        let class = &self.settings.classes[request.class];
-        let max_attempts = class.max_attempts.unwrap_or(limits.max_attempts);
+        let class = &request.class;
         let attempts = request.attempts.len();
-        if request.is_ended
-            || now >= request.deadline
-            || attempts >= max_attempts.min(limits.max_attempts)
-        {
+        if request.is_ended || now >= request.deadline || attempts >= request.max_attempts {
             return false;
         }
         if attempts > 0 && !self.fleet.retry_budget.allows_retry(now, &self.settings) {
@@ -109,7 +93,7 @@
     /// Returns whether a request may be rejected, that is, whether it is harmless if the client repeats it. Every
     /// rejection after an attempt has to pass this check.
     pub(super) fn may_reject(&self, request: &PendingRequest) -> bool {
-        let class = &self.settings.classes[request.class];
+        let class = &request.class;
         let is_dropped_anywhere =
             class.effect == Effect::Keyed && class.dedup_group == DedupGroup::All;
         class.effect == Effect::Safe || is_dropped_anywhere || request.has_not_run()
@@ -137,7 +121,8 @@
             AttemptState::MayHaveRun
         };
         let attempt = *attempt;
-        let class = request.class;
+        let class = request.class_index;
+        let deadline = request.class.deadline;
         let shard = request.shard;
         let is_over = request.is_ended || result.last;
         let ordering_key = request.ordering_key;
@@ -148,7 +133,7 @@
             let pause = self.fleet.service_time * PAUSE_IN_SERVICE_TIMES;
             self.key_owners.on_attempt_ended(now, key, result, pause);
         }
-        self.learn(now, class, attempt, result);
+        self.learn(now, class, deadline, attempt, result);
         self.close_idle(now, attempt.upstream, actions);
         if result.outcome == AttemptOutcome::Ok {
             self.finish_request(result.request, actions);
@@ -205,7 +190,7 @@
     pub(super) fn update_breakers(
         &mut self,
         now: Time,
-        class: usize,
+        class: Option<usize>,
         attempt: Attempt,
         outcome: AttemptOutcome,
         class_mean: f64,
@@ -223,12 +208,16 @@
                     upstream.last_answered_sent_at.max(attempt.sent_at);
                 upstream.breaker.reset_faults();
                 upstream.consecutive_failures = 0;
-                upstream.class_breakers[class] = CircuitBreaker::default();
+                if let Some(breaker) = upstream.class_breaker_mut(class) {
+                    *breaker = CircuitBreaker::default();
+                }
             }
             AttemptOutcome::Error | AttemptOutcome::Timeout | AttemptOutcome::Reset
                 if !attempt.is_overdue =>
             {
-                upstream.class_breakers[class].trip(now, class_mean, MAX_CLASS_PAUSE_DOUBLINGS);
+                if let Some(breaker) = upstream.class_breaker_mut(class) {
+                    breaker.trip(now, class_mean, MAX_CLASS_PAUSE_DOUBLINGS);
+                }
                 upstream.consecutive_failures += 1;
             }
             _ => {}
--- a/crates/load-balancing/src/policy/concurrency.rs
+++ b/crates/load-balancing/src/policy/concurrency.rs
@@ -37,13 +37,14 @@
         &self.fleet.concurrency[upstream.kind as usize]
     }
 
-    /// Records how long an upstream had its current number of attempts in flight. `served` is the class of the request
-    /// that was served at the end of that time, if any; its work is recorded too.
+    /// Records how long an upstream had its current number of attempts in flight. `served_mean` is the mean latency, in
+    /// microseconds, of the class of the request that was served at the end of that time, if any; its work is recorded
+    /// too.
     pub(super) fn record_concurrency(
         &mut self,
         now: Time,
         upstream: UpstreamIndex,
-        served: Option<usize>,
+        served_mean: Option<f64>,
     ) {
         let i = upstream;
         let upstream = &self.upstreams[i];
@@ -54,9 +55,7 @@
             .min(max_time);
         let (kind, in_flight) = (upstream.kind as usize, upstream.in_flight as usize);
         if self.is_representative(now, upstream) && (1..=MAX_CONCURRENCY).contains(&in_flight) {
-            let work = served.map_or(0.0, |class| {
-                self.fleet.classes[class].mean / self.fleet.service_time
-            });
+            let work = served_mean.map_or(0.0, |mean| mean / self.fleet.service_time);
             self.fleet.concurrency[kind].record(in_flight, time, work);
         }
         self.upstreams[i].in_flight_changed_at = now;
--- a/crates/load-balancing/src/policy/dispatch.rs
+++ b/crates/load-balancing/src/policy/dispatch.rs
@@ -38,7 +38,7 @@
                 continue;
             };
             let is_new = request.attempts.is_empty() && request.shard.is_none();
-            let pool = self.capacity.by_class[request.class];
+            let pool = request.pool;
             if (is_new && is_exhausted[pool]) || !self.has_turn(now, id, request) {
                 i += 1;
                 continue;
@@ -70,7 +70,7 @@
     ) -> Option<UpstreamIndex> {
         // Evaluated lazily and at most once: evaluating it for every class each time used all the CPU time of a small
         // machine with a thousand routes.
-        let is_panicking = LazyCell::new(|| self.is_panicking(now, request.class));
+        let is_panicking = LazyCell::new(|| self.is_panicking(now, request));
         let owner = request.shard.map(|key| self.key_owners.owner_of(now, key));
         let mut best: Option<(bool, f64, UpstreamIndex)> = None;
         for &i in &self.by_cost {
@@ -85,7 +85,7 @@
                 continue;
             }
             let is_open_for_class =
-                upstream.class_breakers[request.class].is_open(now) && !*is_panicking;
+                upstream.is_open_for_class(now, request.class_index) && !*is_panicking;
             if is_open_for_class
                 || upstream.breaker.is_open(now)
                 || !self.may_send(now, id, request, i)
@@ -128,15 +128,15 @@
         load < f64::from(limit)
     }
 
-    /// Returns whether so many upstreams have their breaker for a class open that these breakers are ignored; see
-    /// [`PANIC_THRESHOLD`].
-    fn is_panicking(&self, now: Time, class: usize) -> bool {
+    /// Returns whether so many upstreams have their breaker for the class of a request open that these breakers are
+    /// ignored; see [`PANIC_THRESHOLD`].
+    fn is_panicking(&self, now: Time, request: &PendingRequest) -> bool {
         let (mut all, mut open) = (0.0, 0.0);
         for &i in &self.by_cost {
             let upstream = &self.upstreams[i];
-            if self.is_allowed_for(Some(class), upstream) {
+            if upstream.is_allowed_for(&request.class) {
                 all += 1.0;
-                open += f64::from(upstream.class_breakers[class].is_open(now));
+                open += f64::from(upstream.is_open_for_class(now, request.class_index));
             }
         }
         open > all * PANIC_THRESHOLD
--- a/crates/load-balancing/src/policy/estimates.rs
+++ b/crates/load-balancing/src/policy/estimates.rs
@@ -11,7 +11,7 @@
 use super::state::upstream_table::UpstreamIndex;
 use crate::fleet::fair_share::FairShare;
 use crate::fleet::peer_load::ReportedLoad;
-use crate::interface::{AttemptOutcome, AttemptResult, Time};
+use crate::interface::{AttemptOutcome, AttemptResult, Span, Time};
 
 impl Balancer {
     /// Returns TS_i in microseconds.
@@ -45,21 +45,20 @@
         self.concurrency(upstream) / round_trip
     }
 
-    /// Updates all estimates with the outcome of an attempt.
+    /// Updates all estimates with the outcome of an attempt of a request with this class index and deadline.
     pub(super) fn learn(
         &mut self,
         now: Time,
-        class: usize,
+        class: Option<usize>,
+        deadline: Span,
         attempt: Attempt,
         result: &AttemptResult,
     ) {
         let is_served = result.outcome == AttemptOutcome::Ok;
         // Clamped, since a single implausible latency would make the mean of its class unusable for good.
-        let latency = result
-            .latency
-            .as_micros()
-            .clamp(1.0, self.settings.classes[class].deadline.as_micros());
-        self.record_concurrency(now, attempt.upstream, is_served.then_some(class));
+        let latency = result.latency.as_micros().clamp(1.0, deadline.as_micros());
+        let served_mean = is_served.then(|| self.fleet.class(class).mean);
+        self.record_concurrency(now, attempt.upstream, served_mean);
         // Answers are slower while a trial has more requests in flight than usual. When they were included, the
         // upstream looked slow and its balancer moved its requests into the subsets of other balancers.
         let upstream = &self.upstreams[attempt.upstream];
@@ -72,7 +71,10 @@
         }
         let mean = self.fleet.class_mean(class);
         self.adjust_tolerance(latency / mean, result.outcome);
-        if attempt.is_hedge_due && result.outcome != AttemptOutcome::Cancelled {
+        if let Some(class) = class
+            && attempt.is_hedge_due
+            && result.outcome != AttemptOutcome::Cancelled
+        {
             let unanswered = &mut self.fleet.classes[class].unanswered_share;
             *unanswered += (f64::from(!is_served) - *unanswered) * SERVICE_TIME_GAIN;
         }
@@ -128,12 +130,11 @@
     /// Recomputes this balancer's share of the sums of K_i and N_i over the live upstreams of a pool. Unresponsive
     /// upstreams are excluded: otherwise the sums included a lost zone for as long as it was listed, and queues grew
     /// past the latency target.
-    fn refresh_capacity_pool(&mut self, pool: usize) {
-        let class = self.capacity.pools[pool].class;
+    pub(super) fn refresh_capacity_pool(&mut self, pool: usize) {
         self.capacity.pools[pool].all_unresponsive = !self
             .upstreams
             .iter()
-            .filter(|upstream| upstream.is_live() && self.is_allowed_for(class, upstream))
+            .filter(|upstream| upstream.is_live() && self.capacity.pools[pool].contains(upstream))
             .any(|upstream| !upstream.is_unresponsive());
         let (mut slots, mut per_us) = (0.0, 0.0);
         for upstream in self.upstreams.iter() {
--- a/crates/load-balancing/src/policy/hedging.rs
+++ b/crates/load-balancing/src/policy/hedging.rs
@@ -59,7 +59,7 @@
                 continue;
             };
             self.in_flight.push(id);
-            let class = request.class;
+            let class = request.class_index;
             let check = self.check_attempt(now, request, &attempt);
             self.apply_check(now, id, class, attempt, &check);
         }
@@ -96,10 +96,9 @@
 
     /// Returns when an attempt is overdue and when a hedge must be sent to meet the latency target.
     fn lateness_times(&self, request: &PendingRequest, attempt: &Attempt) -> LatenessTimes {
-        let estimate = &self.fleet.classes[request.class];
+        let estimate = self.fleet.class(request.class_index);
         if estimate.mean == 0.0 {
-            let target = self.settings.classes[request.class].latency_target;
-            let at = attempt.sent_at.plus(target);
+            let at = attempt.sent_at.plus(request.class.latency_target);
             return LatenessTimes {
                 overdue_at: at,
                 hedge_at: at,
@@ -118,9 +117,9 @@
 
     /// Returns whether a hedge is allowed, is likely to help, and takes no capacity from other requests.
     fn may_hedge(&self, now: Time, request: &PendingRequest) -> bool {
-        let pool = self.capacity.of_class(request.class);
+        let pool = &self.capacity.pools[request.pool];
         let is_idle = pool.queued == 0 && (pool.in_flight as f64) < pool.slots;
-        let unanswered_share = self.fleet.classes[request.class].unanswered_share;
+        let unanswered_share = self.fleet.class(request.class_index).unanswered_share;
         unanswered_share > MIN_UNANSWERED_SHARE
             && is_idle
             && self.hedge_tokens >= 1.0
@@ -135,7 +134,7 @@
         &mut self,
         now: Time,
         id: AttemptId,
-        class: usize,
+        class: Option<usize>,
         attempt: Attempt,
         check: &AttemptCheck,
     ) {
@@ -144,10 +143,12 @@
             upstream.last_answered_sent_at = Time(i64::MIN);
         }
         if check.is_overdue && !attempt.is_overdue {
-            let mean = self.fleet.classes[class].mean.max(1.0);
+            let mean = self.fleet.class(class).mean.max(1.0);
             let age = now.since(attempt.sent_at).as_micros();
             upstream.estimate.learn(AttemptOutcome::Timeout, age, mean);
-            upstream.class_breakers[class].trip(now, mean, MAX_CLASS_PAUSE_DOUBLINGS);
+            if let Some(breaker) = upstream.class_breaker_mut(class) {
+                breaker.trip(now, mean, MAX_CLASS_PAUSE_DOUBLINGS);
+            }
             upstream.consecutive_failures += 1;
         }
         if check.needs_hedge {
--- a/crates/load-balancing/src/policy/membership.rs
+++ b/crates/load-balancing/src/policy/membership.rs
@@ -141,7 +141,7 @@
     /// excluded while it is unresponsive and others respond; an estimated concurrency adapts by itself.
     pub(super) fn is_counted(&self, pool: &CapacityPool, upstream: &Upstream) -> bool {
         (!upstream.reports_concurrency() || !upstream.is_unresponsive() || pool.all_unresponsive)
-            && self.is_allowed_for(pool.class, upstream)
+            && pool.contains(upstream)
     }
 
     /// Recounts the attempts in flight in each pool after upstreams have entered or left its sums.
--- a/crates/load-balancing/src/policy/mod.rs
+++ b/crates/load-balancing/src/policy/mod.rs
@@ -12,7 +12,7 @@
 //! The paper assumes one balancer, equal requests, and upstreams that run one request at a time and never fail. Each
 //! extension has a module of its own: `fair_share` and `subset` (many balancers), `concurrency` (upstreams that run
 //! several requests at a time), `attempts`, `retries` and `hedging` (failures), `slow_start` and `membership`
-//! (upstreams that come and go), `tenants` (quotas).
+//! (upstreams that come and go), `tenants` (quotas), `reconfiguration` (settings that change at run time).
 //!
 //! [`Balancer`] owns all state and keeps it in memory only; the records are in `state`. After a restart it knows at
 //! most a list of upstreams, starts with default estimates and learns from the first answers. The field `fleet` holds
@@ -24,6 +24,8 @@
 //!   host passes on.
 //! - A request that may have run is never rejected if a repeat could do harm, and never sent again if its effect
 //!   forbids that.
+//! - Whether, where, how often and until when a request may be sent depends on its class as of its acceptance, whatever
+//!   the settings become.
 //! - When an upstream stops responding, its attempts become overdue, its breakers open and its slots are excluded from
 //!   the sums. When membership updates stop, the last list stays in use.
 
@@ -35,7 +37,6 @@
 use crate::interface::{Action, Event, RequestId, ServerId, Settings, SettingsError, Span, Time};
 use crate::key_owners::KeyOwners;
 use state::capacity::CapacityPools;
-use state::circuit_breaker::CircuitBreaker;
 use state::fleet_estimate::FleetEstimate;
 use state::membership_poll::MembershipPoll;
 use state::request::{AttemptId, OrderedQueue, PendingRequest};
@@ -51,6 +52,7 @@
 mod hedging;
 mod membership;
 mod queue;
+mod reconfiguration;
 mod retries;
 mod slow_start;
 mod state;
@@ -68,6 +70,8 @@
     settings: Settings,
     /// Mean latency target of the active classes in microseconds; T_QoS where N_i limits K_i.
     mean_latency_target: f64,
+    /// Interval of the periodic housekeeping.
+    sweep_interval: Span,
     rng: Rand64,
     /// Whether the first event has been handled, which starts the timer.
     has_started: bool,
@@ -113,6 +117,7 @@
         let mean_latency_target = settings.mean_latency_target();
         Ok(Self {
             mean_latency_target,
+            sweep_interval: settings.sweep_interval(settings.shortest_latency_target()),
             rng: Rand64::new(u128::from(seed)),
             has_started: false,
             upstreams: UpstreamTable::default(),
@@ -120,7 +125,7 @@
             requests: FxHashMap::default(),
             queue: VecDeque::new(),
             ordered_queues: FxHashMap::default(),
-            capacity: settings.capacity_pools(),
+            capacity: CapacityPools::new(&settings.classes),
             in_flight: Vec::new(),
             hedge_tokens: 1.0,
             fleet: FleetEstimate::new(
@@ -141,36 +146,6 @@
         })
     }
 
-    /// Replaces the settings at run time. Estimates are kept by class index, so the host must not reuse an index while
-    /// a request of that class is open.
-    ///
-    /// # Errors
-    /// Returns an error if the settings can't be corrected to safe values, or have fewer classes than before. The old
-    /// settings stay in force then.
-    pub fn reconfigure(&mut self, settings: Settings) -> Result<(), SettingsError> {
-        let settings = settings.into_validated()?;
-        let classes_before = self.settings.classes.len();
-        if settings.classes.len() < classes_before {
-            return Err(SettingsError::FewerClasses(classes_before));
-        }
-        let classes = settings.classes.len();
-        self.mean_latency_target = settings.mean_latency_target();
-        self.capacity = settings.capacity_pools();
-        self.fleet.resize_classes(classes);
-        for upstream in self.upstreams.iter_mut() {
-            upstream
-                .class_breakers
-                .resize(classes, CircuitBreaker::default());
-        }
-        self.settings = settings;
-        for request in self.requests.values().filter(|request| request.is_queued) {
-            self.capacity.count_queued(request.class, 1);
-        }
-        self.assign_subset();
-        self.refresh_estimates();
-        Ok(())
-    }
-
     /// Handles an event and appends the resulting actions in order.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         if !self.has_started {
@@ -215,7 +190,7 @@
     fn set_sweep_timer(&mut self, now: Time, actions: &mut Vec<Action>) {
         actions.push(Action::SetTimer {
             token: SWEEP_TIMER_TOKEN,
-            at: now.plus(self.settings.sweep_interval()),
+            at: now.plus(self.sweep_interval),
         });
     }
 
--- a/crates/load-balancing/src/policy/queue.rs
+++ b/crates/load-balancing/src/policy/queue.rs
@@ -14,7 +14,7 @@
             return;
         };
         request.is_queued = true;
-        self.capacity.count_queued(request.class, 1);
+        self.capacity.count_queued(request.pool, 1);
         if at_head {
             self.queue.push_front(id);
         } else {
@@ -27,7 +27,7 @@
         let queued = self.requests.get_mut(&id).filter(|r| r.is_queued);
         if let Some(request) = queued {
             request.is_queued = false;
-            self.capacity.count_queued(request.class, -1);
+            self.capacity.count_queued(request.pool, -1);
         }
     }
 
--- a/crates/load-balancing/src/policy/retries.rs
+++ b/crates/load-balancing/src/policy/retries.rs
@@ -71,8 +71,7 @@
         if !owner.is_none_or(has_attempted_owner) {
             return request.queue_until;
         }
-        let target = self.settings.classes[request.class].latency_target;
-        let wait = target.as_micros() * (1.0 - HARMLESS_SHARE_OF_TARGET);
+        let wait = request.class.latency_target.as_micros() * (1.0 - HARMLESS_SHARE_OF_TARGET);
         request.queue_until.plus(Span::from_micros(-wait))
     }
 
@@ -96,7 +95,7 @@
             .requests
             .get(&id)
             .filter(|_| self.settings.limits.cancel)
-            && self.settings.classes[request.class].effect == Effect::Safe
+            && request.class.effect == Effect::Safe
         {
             let in_flight = (0..request.attempts.len())
                 .filter(|i| request.attempts[*i].state == AttemptState::InFlight);
--- a/crates/load-balancing/src/policy/state/fleet_estimate.rs
+++ b/crates/load-balancing/src/policy/state/fleet_estimate.rs
@@ -85,18 +85,32 @@
         self.class_share.resize(classes, 0.0);
     }
 
+    /// Discards what is known about a class, because its index now belongs to another one.
+    pub(in crate::policy) fn forget_class(&mut self, class: usize) {
+        self.classes[class] = ClassEstimate::default();
+        self.class_share[class] = 0.0;
+    }
+
+    /// Returns the estimates of a class; those before the first answer for `None`.
+    pub(in crate::policy) fn class(&self, class: Option<usize>) -> ClassEstimate {
+        class.map_or(ClassEstimate::default(), |class| self.classes[class])
+    }
+
     /// Returns the mean latency of a class, or the mean service time before the first answer of that class.
-    pub(in crate::policy) fn class_mean(&self, class: usize) -> f64 {
-        let mean = self.classes[class].mean;
+    pub(in crate::policy) fn class_mean(&self, class: Option<usize>) -> f64 {
+        let mean = self.class(class).mean;
         if mean > 0.0 { mean } else { self.service_time }
     }
 
-    /// Updates the means with the latency of a served request of this class.
-    pub(in crate::policy) fn learn_latency(&mut self, class: usize, latency: f64) {
+    /// Updates the means with the latency of a served request of this class; `None` for a class without estimates.
+    pub(in crate::policy) fn learn_latency(&mut self, class: Option<usize>, latency: f64) {
         self.service_time += (latency - self.service_time) * MEAN_GAIN;
         for share in &mut self.class_share {
             *share -= *share * MEAN_GAIN;
         }
+        let Some(class) = class else {
+            return;
+        };
         self.class_share[class] += MEAN_GAIN;
         let estimate = &mut self.classes[class];
         let is_first = estimate.mean == 0.0;
--- a/crates/load-balancing/src/policy/state/request.rs
+++ b/crates/load-balancing/src/policy/state/request.rs
@@ -1,8 +1,9 @@
 //! A pending request and its attempts.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
-use crate::interface::{RequestId, Time};
+use crate::interface::{RequestClass, RequestId, Time};
 use crate::policy::state::upstream_table::UpstreamIndex;
 
 /// State of an attempt, as far as it matters for sending the request again.
@@ -55,7 +56,15 @@
 /// A request that is queued, or has an attempt in flight.
 #[derive(Debug)]
 pub(in crate::policy) struct PendingRequest {
-    pub(in crate::policy) class: usize,
+    /// Its class as it was when the request was accepted. Every decision about the request depends on it, and not on
+    /// the class that the settings contain now.
+    pub(in crate::policy) class: Arc<RequestClass>,
+    /// Index of the estimates and breakers of its class; `None` once the index belongs to another class.
+    pub(in crate::policy) class_index: Option<usize>,
+    /// Index of the capacity pool of the upstreams that it may be sent to.
+    pub(in crate::policy) pool: usize,
+    /// Maximum number of attempts, including the first, as of when it was accepted.
+    pub(in crate::policy) max_attempts: usize,
     /// When the client gives up.
     pub(in crate::policy) deadline: Time,
     /// When an answer loses its value.
--- a/crates/load-balancing/src/policy/state/upstream.rs
+++ b/crates/load-balancing/src/policy/state/upstream.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet::peer_load::ReportedLoad;
 use crate::fleet::send_credit::SendCredit;
-use crate::interface::{Endpoint, ServerId, Span, Status, Time};
+use crate::interface::{Endpoint, RequestClass, ServerId, Span, Status, Time};
 use crate::policy::state::circuit_breaker::CircuitBreaker;
 use crate::policy::state::latency_estimate::LatencyEstimate;
 
@@ -107,6 +107,26 @@
         self.status == Status::Live
     }
 
+    /// Returns whether it is in the zones and of the machine types that a class is bound to.
+    pub(in crate::policy) fn is_allowed_for(&self, class: &RequestClass) -> bool {
+        let is_allowed =
+            |allowed: &Option<Vec<u32>>, i: &u32| allowed.as_ref().is_none_or(|a| a.contains(i));
+        is_allowed(&class.zones, &self.zone) && is_allowed(&class.kinds, &self.kind)
+    }
+
+    /// Returns whether its breaker for a class is open; `None` is a class without breakers.
+    pub(in crate::policy) fn is_open_for_class(&self, now: Time, class: Option<usize>) -> bool {
+        class.is_some_and(|class| self.class_breakers[class].is_open(now))
+    }
+
+    /// Returns its breaker for a class.
+    pub(in crate::policy) fn class_breaker_mut(
+        &mut self,
+        class: Option<usize>,
+    ) -> Option<&mut CircuitBreaker> {
+        self.class_breakers.get_mut(class?)
+    }
+
     pub(in crate::policy) fn is_unresponsive(&self) -> bool {
         self.consecutive_failures >= UNRESPONSIVE_AFTER_FAILURES
     }
--- a/crates/load-balancing/src/settings/site.rs
+++ b/crates/load-balancing/src/settings/site.rs
@@ -298,7 +298,7 @@
     /// Converts to the settings of a balancer of this site.
     pub fn to_settings(&self) -> interface::Settings {
         interface::Settings {
-            classes: self.services.iter().map(Service::to_class).collect(),
+            classes: self.services.iter().map(|s| s.to_class().into()).collect(),
             tenants: self.tenants.iter().map(Tenant::to_tenant).collect(),
             balancers: self.balancers,
             position: self.position,
@@ -326,6 +326,7 @@
 impl Service {
     fn to_class(&self) -> interface::RequestClass {
         interface::RequestClass {
+            id: 0,
             latency_target: span_from_ms(self.latency_target),
             deadline: span_from_ms(self.deadline),
             value: self.value,
--- a/crates/load-balancing/tests/balancer/fleet_world.rs
+++ b/crates/load-balancing/tests/balancer/fleet_world.rs
@@ -59,7 +59,7 @@
             let settings = Settings {
                 balancers: size.balancers,
                 position,
-                classes: vec![class(Effect::Safe)],
+                classes: vec![class(Effect::Safe).into()],
                 ..settings()
             };
             Balancer::new(settings, u64::from(position), now).expect("valid settings")
--- a/crates/load-balancing/tests/balancer/harness.rs
+++ b/crates/load-balancing/tests/balancer/harness.rs
@@ -1,15 +1,20 @@
 //! Drives one balancer and checks each of its actions against the guarantees of the interface. The checks use their own
-//! record of the events passed in and the requests sent.
+//! record of the events passed in and the requests sent. What is allowed for a request is decided by its class as it
+//! was on arrival, whatever the settings have become since.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use load_balancing::interface::*;
 use load_balancing::policy::Balancer;
 
 pub(crate) const MS: i64 = 1000;
+/// How long before its latency target a request may be given up: two sweeps at the longest interval of any test.
+const GIVE_UP_MARGIN: Span = Span(30 * MS);
 
 pub(crate) fn class(effect: Effect) -> RequestClass {
     RequestClass {
+        id: 0,
         latency_target: Span(200 * MS),
         deadline: Span(600 * MS),
         value: 1.0,
@@ -30,9 +35,9 @@
 pub(crate) fn settings() -> Settings {
     Settings {
         classes: vec![
-            class(Effect::Safe),
-            class(Effect::Keyed),
-            class(Effect::Unsafe),
+            class(Effect::Safe).into(),
+            class(Effect::Keyed).into(),
+            class(Effect::Unsafe).into(),
         ],
         tenants: vec![],
         balancers: 1,
@@ -81,6 +86,11 @@
     }
 }
 
+/// Returns a class of the settings, to change it.
+pub(crate) fn class_mut(settings: &mut Settings, class: usize) -> &mut RequestClass {
+    Arc::make_mut(&mut settings.classes[class])
+}
+
 pub(crate) fn endpoint_in_zone(id: u32, zone: u32) -> Endpoint {
     Endpoint {
         id: ServerId(id),
@@ -108,6 +118,11 @@
 #[derive(Clone, Debug)]
 pub(crate) struct TrackedRequest {
     pub class: usize,
+    /// Its class as it was on arrival.
+    pub accepted_class: RequestClass,
+    /// Maximum number of attempts, by the settings on arrival.
+    pub max_attempts: usize,
+    pub arrived_at: Time,
     pub key: Option<u64>,
     /// Index of the request in order of arrival.
     pub arrival: usize,
@@ -198,6 +213,13 @@
         self.notify(Event::Membership { kind, list });
     }
 
+    /// Changes the settings of a class.
+    pub(crate) fn change_class(&mut self, class: usize, change: impl FnOnce(&mut RequestClass)) {
+        change(class_mut(&mut self.settings, class));
+        let applied = self.balancer.reconfigure(self.settings.clone());
+        applied.expect("valid settings");
+    }
+
     pub(crate) fn request(&mut self, id: u64, class: usize) {
         let wait = self.settings.classes[class].deadline;
         self.request_until(id, class, self.now.plus(wait));
@@ -220,8 +242,13 @@
         key: Option<u64>,
     ) {
         let index = self.requests.len();
+        let accepted = RequestClass::clone(&self.settings.classes[class]);
+        let site_limit = self.settings.limits.max_attempts;
         let tracked = TrackedRequest {
+            max_attempts: accepted.max_attempts.unwrap_or(site_limit).min(site_limit),
             class,
+            accepted_class: accepted,
+            arrived_at: self.now,
             key,
             arrival: index,
             deadline,
@@ -235,6 +262,7 @@
         self.notify(Event::Request(Request {
             id: RequestId(id),
             class,
+            accepted_class: None,
             tenant,
             key,
             deadline,
@@ -290,7 +318,7 @@
         let Some(tracked) = self.requests.get(&id) else {
             return;
         };
-        let is_safe = self.settings.classes[tracked.class].effect == Effect::Safe;
+        let is_safe = tracked.accepted_class.effect == Effect::Safe;
         let has_attempt_in_flight = tracked.attempts.iter().any(|t| t.outcome.is_none());
         let must_be_cancelled = self.settings.limits.cancel && is_safe;
         assert!(
@@ -336,23 +364,18 @@
     /// Checks the order of requests with the same key, and the zones and kinds that classes are bound to.
     fn check_order_and_binding(&self, id: u64, server: ServerId) {
         let tracked = &self.requests[&id];
-        let class = &self.settings.classes[tracked.class];
+        let class = &tracked.accepted_class;
         let m = &self.endpoints[&server.0];
+        assert!(is_in_zones(class, m), "request {id} sent outside its zones");
         assert!(
-            class.zones.as_ref().is_none_or(|z| z.contains(&m.zone)),
-            "request {id} sent outside its zones"
-        );
-        assert!(
-            class.kinds.as_ref().is_none_or(|k| k.contains(&m.kind)),
+            is_of_kinds(class, m),
             "request {id} sent to a kind that it is not bound to"
         );
         if !class.in_order || tracked.key.is_none() || !tracked.attempts.is_empty() {
             return;
         }
         let is_earlier_of_key = |a: &&TrackedRequest| {
-            self.settings.classes[a.class].in_order
-                && a.key == tracked.key
-                && a.arrival < tracked.arrival
+            a.accepted_class.in_order && a.key == tracked.key && a.arrival < tracked.arrival
         };
         for earlier in self.requests.values().filter(is_earlier_of_key) {
             let done = earlier.is_over && earlier.attempts.iter().all(|t| t.outcome.is_some());
@@ -402,7 +425,7 @@
                     timeout,
                 } => self.on_send(request.0, server, timeout),
                 Action::Reject { request, .. } => {
-                    let class = &self.settings.classes[self.requests[&request.0].class];
+                    let class = &self.requests[&request.0].accepted_class;
                     let any_may_have_run =
                         self.requests[&request.0].attempts.iter().any(may_have_run);
                     let is_harmless = class.effect == Effect::Safe
@@ -417,9 +440,8 @@
                 Action::SetTimer { token, at } => self.timers.push((token, at)),
                 Action::Cancel { request, attempt } => {
                     let tracked = &self.requests[&request.0];
-                    let effect = self.settings.classes[tracked.class].effect;
                     assert_eq!(
-                        effect,
+                        tracked.accepted_class.effect,
                         Effect::Safe,
                         "cancelled an attempt of a request that is not safe"
                     );
@@ -444,11 +466,39 @@
     }
 
     fn on_final_answer(&mut self, id: u64) {
+        self.check_no_retry_left(id);
         let tracked = self.requests.get_mut(&id).expect("a known request");
         assert!(!tracked.is_over, "second final answer for request {id}");
         tracked.is_over = true;
     }
 
+    /// Checks that a request that was sent is given up only if it may not be sent again: because of its effect, its
+    /// zones and kinds, the number of its attempts or its latency target.
+    fn check_no_retry_left(&self, id: u64) {
+        let tracked = &self.requests[&id];
+        let class = &tracked.accepted_class;
+        let until = tracked
+            .deadline
+            .min(tracked.arrived_at.plus(class.latency_target));
+        let is_repeatable = match class.effect {
+            Effect::Safe => true,
+            Effect::Keyed => false, // Depends on the upstreams that have run it.
+            Effect::Unsafe => !tracked.attempts.iter().any(may_have_run),
+        };
+        let has_upstream = self
+            .endpoints
+            .values()
+            .any(|m| m.status == Status::Live && is_in_zones(class, m) && is_of_kinds(class, m));
+        let may_be_sent_again = is_repeatable
+            && has_upstream
+            && tracked.attempts.len() < tracked.max_attempts
+            && self.now.plus(GIVE_UP_MARGIN) < until;
+        assert!(
+            tracked.attempts.is_empty() || !may_be_sent_again,
+            "request {id} was given up, although it may be sent again"
+        );
+    }
+
     fn on_send(&mut self, id: u64, server: ServerId, timeout: Span) {
         let tracked = &self.requests[&id];
         assert!(!tracked.is_over, "request {id} sent after its end");
@@ -462,14 +512,17 @@
             Status::Live,
             "request {id} sent to an upstream that is not live"
         );
-        assert!(tracked.attempts.len() < self.settings.limits.max_attempts);
+        assert!(
+            tracked.attempts.len() < tracked.max_attempts,
+            "too many attempts of request {id}"
+        );
         if !self.settings.limits.hedging {
             assert!(
                 tracked.attempts.iter().all(|t| t.outcome.is_some()),
                 "two attempts of request {id} in flight without hedging"
             );
         }
-        let class = &self.settings.classes[tracked.class];
+        let class = &tracked.accepted_class;
         for before in tracked.attempts.iter().filter(|t| may_have_run(t)) {
             let is_same_group = match class.dedup_group {
                 DedupGroup::All => true,
@@ -531,6 +584,16 @@
     }
 }
 
+fn is_in_zones(class: &RequestClass, upstream: &Endpoint) -> bool {
+    let zones = class.zones.as_ref();
+    zones.is_none_or(|zones| zones.contains(&upstream.zone))
+}
+
+fn is_of_kinds(class: &RequestClass, upstream: &Endpoint) -> bool {
+    let kinds = class.kinds.as_ref();
+    kinds.is_none_or(|kinds| kinds.contains(&upstream.kind))
+}
+
 fn may_have_run(t: &TrackedAttempt) -> bool {
     !t.outcome.is_some_and(AttemptOutcome::has_not_run)
 }
--- a/crates/load-balancing/tests/balancer/membership.rs
+++ b/crates/load-balancing/tests/balancer/membership.rs
@@ -3,7 +3,7 @@
 use load_balancing::interface::*;
 use load_balancing::policy::Balancer;
 
-use crate::harness::{MS, World, endpoint_in_zone, settings};
+use crate::harness::{MS, World, class_mut, endpoint_in_zone, settings};
 
 #[test]
 fn requests_the_list_again_after_a_break() {
@@ -43,7 +43,7 @@
         Some(SettingsError::NoClasses)
     );
     let mut bad = settings();
-    bad.classes[1].latency_target = Span(0);
+    class_mut(&mut bad, 1).latency_target = Span(0);
     assert_eq!(
         Balancer::new(bad, 1, Time(0)).err(),
         Some(SettingsError::InvalidLatencyTarget(1))
--- a/crates/load-balancing/tests/balancer/queueing.rs
+++ b/crates/load-balancing/tests/balancer/queueing.rs
@@ -2,7 +2,7 @@
 
 use load_balancing::interface::*;
 
-use crate::harness::{MS, World, endpoint_in_zone, settings};
+use crate::harness::{MS, World, class_mut, endpoint_in_zone, settings};
 
 #[test]
 fn queues_in_arrival_order_when_all_slots_are_taken() {
@@ -70,8 +70,8 @@
 fn a_long_latency_target_does_not_starve_a_short_one() {
     // Regression: the queue filled with requests with long latency targets until none with a short target was admitted.
     let mut s = settings();
-    s.classes[0].latency_target = Span(2000 * MS);
-    s.classes[0].deadline = Span(4000 * MS);
+    class_mut(&mut s, 0).latency_target = Span(2000 * MS);
+    class_mut(&mut s, 0).deadline = Span(4000 * MS);
     let mut w = World::with_servers(s, 2);
     for id in 0..300 {
         w.request(id, 0);
--- a/crates/load-balancing/tests/balancer/reported_facts.rs
+++ b/crates/load-balancing/tests/balancer/reported_facts.rs
@@ -1,6 +1,6 @@
 //! Upstreams that report their slots and load, a configured slow-start rate, and settings that change at run time.
 
-use crate::harness::{MS, class, settings};
+use crate::harness::{MS, class, class_mut, settings};
 use load_balancing::interface::*;
 use load_balancing::policy::Balancer;
 
@@ -253,12 +253,12 @@
     let mut host = Host::new(settings(), &[reporting_endpoint(0, 2, 0)]);
     let (id, sent) = host.request(0);
     let mut more = settings();
-    more.classes.push(class(Effect::Safe));
+    more.classes.push(class(Effect::Safe).into());
     host.balancer.reconfigure(more).expect("one more class");
     assert!(host.answer(id, sent.expect("sent"), 0.0).is_empty());
     assert!(host.request(3).1.is_some(), "the new class is served");
     let fewer = Settings {
-        classes: vec![class(Effect::Safe)],
+        classes: vec![class(Effect::Safe).into()],
         ..settings()
     };
     assert_eq!(
@@ -286,8 +286,8 @@
     // Regression: when it was ranked by value per unit of work alone, the busy class got a fifth of the maximum queue
     // wait.
     let mut settings = settings();
-    settings.classes = vec![class(Effect::Safe), class(Effect::Safe)];
-    settings.classes[1].value = 2.0;
+    settings.classes = vec![class(Effect::Safe).into(), class(Effect::Safe).into()];
+    class_mut(&mut settings, 1).value = 2.0;
     let rejected_requests = |rare: bool| {
         let mut host = Host::new(settings.clone(), &[reporting_endpoint(0, 4, 0)]);
         for i in 0..400 {
--- a/crates/load-balancing/tests/balancer/rules.rs
+++ b/crates/load-balancing/tests/balancer/rules.rs
@@ -1,6 +1,6 @@
 //! Invariants, checked for each combination of effect and outcome and over random sequences of events.
 
-use crate::harness::{MS, World, endpoint_in_zone, settings};
+use crate::harness::{MS, World, class_mut, endpoint_in_zone, settings};
 use load_balancing::interface::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -128,7 +128,7 @@
 /// Returns settings where the keyed class is ordered, with a retry delay of 30 ms.
 fn settings_with_ordered_class() -> Settings {
     let mut s = settings();
-    s.classes[KEYED].in_order = true;
+    class_mut(&mut s, KEYED).in_order = true;
     s.rules.ordered_retry_delay = Span(30 * MS);
     s
 }
@@ -191,7 +191,7 @@
 fn a_bound_class_stays_in_its_zones_and_holds_up_no_others() {
     // Regression: a class bound to zones was sent to any upstream with a free slot.
     let mut s = settings();
-    s.classes[SAFE].zones = Some(vec![1]);
+    class_mut(&mut s, SAFE).zones = Some(vec![1]);
     let mut w = World::with_servers(s, 6);
     (0..20).for_each(|id| w.request(id, SAFE));
     let at: Vec<_> = (0..20).filter_map(|id| w.upstream_of(id)).collect();
@@ -287,6 +287,31 @@
     StrayTimer {
         token: u64,
     },
+    /// The route of a class changes under its name, or another route takes over the name.
+    ClassChanged {
+        class: usize,
+        change: ClassChange,
+    },
+}
+
+/// Settings of a class that decide what may become of its requests.
+#[derive(Clone, Debug)]
+struct ClassChange {
+    effect: Effect,
+    zone: Option<u32>,
+    max_attempts: Option<usize>,
+    latency_target_ms: i64,
+    in_order: bool,
+}
+
+impl ClassChange {
+    fn apply(self, class: &mut RequestClass) {
+        class.effect = self.effect;
+        class.zones = self.zone.map(|zone| vec![zone]);
+        class.max_attempts = self.max_attempts;
+        class.latency_target = Span(self.latency_target_ms * MS);
+        class.in_order = self.in_order;
+    }
 }
 
 fn outcomes() -> impl Strategy<Value = AttemptOutcome> {
@@ -324,6 +349,28 @@
     ]
 }
 
+fn class_changes() -> impl Strategy<Value = RandomEvent> {
+    let effect = prop_oneof![
+        Just(Effect::Safe),
+        Just(Effect::Keyed),
+        Just(Effect::Unsafe)
+    ];
+    let zone = prop::option::of(0..2u32);
+    let max_attempts = prop::option::of(1..4usize);
+    let settings = (effect, zone, max_attempts, 100..400i64, any::<bool>());
+    (0..3usize, settings).prop_map(|(class, settings)| {
+        let (effect, zone, max_attempts, latency_target_ms, in_order) = settings;
+        let change = ClassChange {
+            effect,
+            zone,
+            max_attempts,
+            latency_target_ms,
+            in_order,
+        };
+        RandomEvent::ClassChanged { class, change }
+    })
+}
+
 fn run_events(w: &mut World, events: Vec<RandomEvent>) {
     let mut next = 0;
     for event in events {
@@ -367,19 +414,39 @@
                     .handle(w.now, Event::TimerFired(token + 1000), &mut out);
                 assert!(out.is_empty());
             }
+            RandomEvent::ClassChanged { class, change } => {
+                w.change_class(class, |class| change.apply(class));
+            }
         }
     }
 }
 
-#[test]
-fn rules_hold_over_random_orders_of_events() {
+/// Checks that every client has exactly one answer after its deadline.
+fn check_all_answered(w: &mut World) -> Result<(), TestCaseError> {
+    w.advance(Span(2000 * MS));
+    let unanswered = w.requests.iter().filter(|(_, a)| !a.is_over);
+    let unanswered: Vec<_> = unanswered.map(|(id, _)| id).collect();
+    prop_assert!(
+        unanswered.is_empty(),
+        "no final answer for {:?}",
+        unanswered
+    );
+    Ok(())
+}
+
+fn seeded_runner(cases: u32) -> TestRunner {
     let config = Config {
-        cases: 300,
+        cases,
         failure_persistence: None,
         ..Config::default()
     };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[41; 32]);
-    let mut runner = TestRunner::new_with_rng(config, rng);
+    TestRunner::new_with_rng(config, rng)
+}
+
+#[test]
+fn rules_hold_over_random_orders_of_events() {
+    let mut runner = seeded_runner(300);
     let input = (any::<[bool; 5]>(), prop::collection::vec(events(), 1..250));
     let result = runner.run(
         &input,
@@ -388,30 +455,36 @@
             (s.limits.hedging, s.membership_by_request) = (hedging, by_request);
             (s.rules.ordered_retry_delay, s.rules.drain_close_timeout) =
                 (Span(30 * MS), Span(50 * MS));
-            (s.classes[SAFE].in_order, s.classes[KEYED].in_order) = (in_order, in_order);
-            s.classes[UNSAFE].zones = zones.then(|| vec![1]);
-            s.classes[SAFE].kinds = kinds.then(|| vec![0]);
+            class_mut(&mut s, SAFE).in_order = in_order;
+            class_mut(&mut s, KEYED).in_order = in_order;
+            class_mut(&mut s, UNSAFE).zones = zones.then(|| vec![1]);
+            class_mut(&mut s, SAFE).kinds = kinds.then(|| vec![0]);
             let mut w = World::with_servers(s, 4);
             run_events(&mut w, events);
-            // Whatever happened, every client has exactly one answer after its deadline.
-            w.advance(Span(2000 * MS));
-            let unanswered: Vec<_> = w
-                .requests
-                .iter()
-                .filter(|(_, a)| !a.is_over)
-                .map(|(id, _)| id)
-                .collect();
-            prop_assert!(
-                unanswered.is_empty(),
-                "no final answer for {:?}",
-                unanswered
-            );
-            Ok(())
+            check_all_answered(&mut w)
         },
     );
     result.unwrap();
 }
 
+/// Guards against requests that take over what a later configuration allows the route of their name: a request that
+/// may run only once ran twice, or was rejected after it had run, once its class had become idempotent.
+#[test]
+fn requests_keep_what_their_class_allowed_on_arrival() {
+    let mut runner = seeded_runner(1000);
+    let event = prop_oneof![3 => events().boxed(), 1 => class_changes().boxed()];
+    let input = (any::<bool>(), prop::collection::vec(event, 1..250));
+    let result = runner.run(&input, |(hedging, events)| {
+        let mut s = settings();
+        s.limits.hedging = hedging;
+        s.rules.ordered_retry_delay = Span(30 * MS);
+        let mut w = World::with_servers(s, 4);
+        run_events(&mut w, events);
+        check_all_answered(&mut w)
+    });
+    result.unwrap();
+}
+
 /// Six balancers and twelve upstreams, of which number 5 is in slow start. The other upstreams run one request at a
 /// time.
 struct SlowStartFleet {
@@ -435,7 +508,7 @@
                 position,
                 ..settings()
             };
-            s.classes[SAFE].deadline = Span(60_000 * MS);
+            class_mut(&mut s, SAFE).deadline = Span(60_000 * MS);
             let mut w = World::with_servers(s, 12);
             let just_started = Endpoint {
                 started: Some(w.now),
--- a/crates/standalone-proxy/src/api/mod.rs
+++ b/crates/standalone-proxy/src/api/mod.rs
@@ -6,6 +6,7 @@
 mod open_ids;
 mod validation;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use data_plane::engine::{EngineHandle, EngineReply, IncomingRequest};
@@ -58,7 +59,7 @@
 impl Api {
     pub(crate) fn new(config: &Config, engine: EngineHandle) -> Self {
         let settings = config.site.to_settings();
-        let deadline = |c: &RequestClass| Duration::from_micros(c.deadline.0.max(0) as u64);
+        let deadline = |c: &Arc<RequestClass>| Duration::from_micros(c.deadline.0.max(0) as u64);
         Self {
             engine,
             site: config.site.clone(),
@@ -145,6 +146,8 @@
         let work_us = header_text(head, "x-cost-hint").and_then(|v| v.trim().parse::<f64>().ok());
         Ok(IncomingRequest {
             class,
+            // The settings never change.
+            accepted_class: None,
             tenant,
             shard: None,
             key: cookie(&head.headers, "sid").map(key_hash),
