Identify a route by its host and prefix, and use the indexes of gone routes again

Estimates and breakers of a route's class are kept by an index, and the index by the route's name. A route that was given the name of another one took over its mean latency and its open breakers, and open requests of the former route changed those of the new one.

Cause: the name of a route does not identify it. A configuration may deal the names anew; no two routes of one have the same host and prefix.

Change: the class table of a service is keyed by host and prefix, and the index of a route that has left the service goes to the next new one. Each class has an id that is never reused; where an index has another id than before, its estimates and breakers start anew, and open requests of the former class no longer use or change them. A route that changes its type, homes or tries keeps its estimates.

--- a/crates/data-plane/src/routes/class_table.rs
+++ b/crates/data-plane/src/routes/class_table.rs
@@ -1,7 +1,10 @@
-//! The request classes of a service, by index: one for each route that it ever had, identified by name.
+//! The request classes of a service, by index: one for each of its routes, identified by host and path prefix.
 //!
-//! Requests don't depend on an index: they share the class that they were accepted with, which is freed with the last of
-//! them.
+//! A route keeps its index, and with it the estimates and breakers of the engine, while it stays at the service, whatever
+//! else changes about it. The name does not matter, since a configuration may give it to another route. The index of a
+//! route that has left the service may be given to another one, so that there are no more indexes than routes that were
+//! ever active at the same time. Requests don't depend on an index: they share the class that they were accepted with,
+//! which is freed with the last of them.
 
 use std::sync::Arc;
 
@@ -9,16 +12,19 @@
 use protocol::config::Route;
 use rustc_hash::{FxHashMap, FxHashSet};
 
-/// Identifies a route across configurations.
+/// Identifies a route across configurations. No two routes of a configuration have the same key.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct RouteKey {
-    name: String,
+    /// In lower case.
+    host: String,
+    path_prefix: String,
 }
 
 impl RouteKey {
     pub(super) fn of(route: &Route) -> Self {
         Self {
-            name: route.name.clone(),
+            host: route.host.to_ascii_lowercase(),
+            path_prefix: route.path_prefix.clone(),
         }
     }
 }
@@ -37,6 +43,8 @@
     /// The routes of `classes`, in the same order.
     routes: Vec<RouteKey>,
     index_by_route: FxHashMap<RouteKey, usize>,
+    /// The indexes of retired classes, which may be given to other routes.
+    retired: Vec<usize>,
     /// Ids are never reused, so that the estimates of one route are not taken for those of another.
     last_id: u64,
 }
@@ -49,8 +57,13 @@
 
     /// Retires the classes of all routes but these.
     pub(super) fn retire_all_but(&mut self, active: &FxHashSet<RouteKey>) {
+        self.retired.clear();
         for (index, class) in self.classes.iter_mut().enumerate() {
-            if !active.contains(&self.routes[index]) && !class.retired {
+            if active.contains(&self.routes[index]) {
+                continue;
+            }
+            self.retired.push(index);
+            if !class.retired {
                 Arc::make_mut(class).retired = true;
             }
         }
@@ -75,16 +88,23 @@
         }
     }
 
-    /// Assigns an index to a route.
+    /// Assigns an index to a route: that of a retired class if there is one.
     fn assign_index(&mut self, route: &RouteKey, class: &RequestClass) -> usize {
         self.last_id += 1;
         let class = Arc::new(RequestClass {
             id: self.last_id,
             ..class.clone()
         });
-        let index = self.classes.len();
-        self.routes.push(route.clone());
-        self.classes.push(class);
+        let index = if let Some(index) = self.retired.pop() {
+            self.index_by_route.remove(&self.routes[index]);
+            self.routes[index] = route.clone();
+            self.classes[index] = class;
+            index
+        } else {
+            self.routes.push(route.clone());
+            self.classes.push(class);
+            self.classes.len() - 1
+        };
         self.index_by_route.insert(route.clone(), index);
         index
     }
--- a/crates/data-plane/src/routes/tests.rs
+++ b/crates/data-plane/src/routes/tests.rs
@@ -1,7 +1,9 @@
 //! Routing under a sequence of configurations, and the deadlines of clients.
 
-use std::sync::Arc;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Weak};
 
+use load_balancing::interface::RequestClass;
 use protocol::compact_config::CompactConfig;
 use protocol::config::{Config, RequestKind, Route, Service, TrafficSplit};
 use protocol::wire::{Indexed, WatchUpdate};
@@ -119,6 +121,7 @@
     let test = async {
         let (routes, mut rng) = (routes(), oorandom::Rand64::new(22));
         let mut current = Config::default();
+        let mut most_active = BTreeMap::new();
         for round in 1..=300 {
             // Some configurations arrive late, after a newer one, and must be ignored.
             let late = round > 5 && rng.rand_range(0..4) == 0;
@@ -130,7 +133,16 @@
                 current = config;
             }
             let classes = |s: &services::Service| s.classes.classes().to_vec();
-            let active = |s| classes(s).iter().filter(|class| !class.retired).count();
+            let active = |s: &services::Service| {
+                let classes = s.classes.classes().iter();
+                classes.filter(|class| !class.retired).count()
+            };
+            for service in routes.services.borrow().iter() {
+                let most: &mut usize = most_active.entry(service.name.clone()).or_default();
+                *most = active(service).max(*most);
+                let is_flat = classes(service).len() == *most;
+                assert!(is_flat, "round {round}: an index of a gone route is free");
+            }
             let splits: usize = current
                 .routes
                 .iter()
@@ -169,6 +181,43 @@
     tokio::task::LocalSet::new().run_until(test).await;
 }
 
+/// Guards against memory that grows with each change of a route's type while requests are open.
+#[tokio::test]
+async fn replaced_class_is_freed_with_its_last_request() {
+    const OPEN_REQUESTS: usize = 5;
+    let test = async {
+        let routes = routes();
+        let mut rng = oorandom::Rand64::new(22);
+        let mut config = random_config(&mut rng, 1);
+        let path = config.routes[0].path_prefix.clone();
+        let mut open_requests = VecDeque::new();
+        let mut classes: Vec<Weak<RequestClass>> = Vec::new();
+        for round in 1..=300 {
+            config.revision = round;
+            for (place, route) in config.routes.iter_mut().enumerate() {
+                // Names move on by one place, as an operator's tool may number them.
+                route.name = format!("r-{}", place as u64 + round);
+                route.kind = match route.kind {
+                    RequestKind::Idempotent => RequestKind::Mutating,
+                    RequestKind::Mutating => RequestKind::Idempotent,
+                };
+            }
+            let compact = CompactConfig::from_config(&config);
+            routes.receive_configuration(round, Arc::new(compact));
+            let found = routes.route_table.find(&config.routes[0].host, &path);
+            let class = Arc::clone(&found.expect("a route").splits[0].class.class);
+            classes.push(Arc::downgrade(&class));
+            open_requests.push_back(class);
+            if open_requests.len() > OPEN_REQUESTS {
+                open_requests.pop_front();
+            }
+        }
+        let kept = classes.iter().filter(|class| class.strong_count() > 0);
+        assert_eq!(kept.count(), OPEN_REQUESTS);
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
+
 impl Routes {
     /// Processes a configuration as if a session had received it.
     fn receive_configuration(&self, index: u64, config: Arc<CompactConfig>) {
--- a/crates/load-balancing/tests/balancer/harness.rs
+++ b/crates/load-balancing/tests/balancer/harness.rs
@@ -141,6 +141,8 @@
 /// One balancer, its clock, and a record of its events and actions.
 pub(crate) struct World {
     pub settings: Settings,
+    /// Each class before its last change.
+    former_classes: Vec<Arc<RequestClass>>,
     pub balancer: Balancer,
     pub now: Time,
     pub endpoints: BTreeMap<u32, Endpoint>,
@@ -159,6 +161,7 @@
         let now = Time(1_000_000 * MS);
         let balancer = Balancer::new(settings.clone(), 7, now).expect("valid settings");
         let mut world = Self {
+            former_classes: settings.classes.clone(),
             settings,
             balancer,
             now,
@@ -215,6 +218,7 @@
 
     /// Changes the settings of a class.
     pub(crate) fn change_class(&mut self, class: usize, change: impl FnOnce(&mut RequestClass)) {
+        self.former_classes[class] = Arc::clone(&self.settings.classes[class]);
         change(class_mut(&mut self.settings, class));
         let applied = self.balancer.reconfigure(self.settings.clone());
         applied.expect("valid settings");
@@ -241,36 +245,45 @@
         deadline: Time,
         key: Option<u64>,
     ) {
-        let index = self.requests.len();
-        let accepted = RequestClass::clone(&self.settings.classes[class]);
+        self.submit(Request {
+            tenant,
+            key,
+            ..Request::new(RequestId(id), class, deadline)
+        });
+    }
+
+    /// Submits a request that was accepted before the last change of its class.
+    pub(crate) fn request_accepted_before_change(&mut self, id: u64, class: usize, wait: Span) {
+        let former = Arc::clone(&self.former_classes[class]);
+        self.submit(Request {
+            accepted_class: Some(former),
+            key: Some(id % 5),
+            ..Request::new(RequestId(id), class, self.now.plus(wait))
+        });
+    }
+
+    fn submit(&mut self, request: Request) {
+        let current = &self.settings.classes[request.class];
+        let accepted_class = request.accepted_class.as_ref().unwrap_or(current);
         let site_limit = self.settings.limits.max_attempts;
+        let max_attempts = accepted_class.max_attempts.unwrap_or(site_limit);
         let tracked = TrackedRequest {
-            max_attempts: accepted.max_attempts.unwrap_or(site_limit).min(site_limit),
-            class,
-            accepted_class: accepted,
+            max_attempts: max_attempts.min(site_limit),
+            class: request.class,
+            accepted_class: RequestClass::clone(accepted_class),
             arrived_at: self.now,
-            key,
-            arrival: index,
-            deadline,
+            key: request.key,
+            arrival: self.requests.len(),
+            deadline: request.deadline,
             attempts: vec![],
             is_over: false,
         };
+        let id = request.id.0;
         assert!(
             self.requests.insert(id, tracked).is_none(),
             "request id {id} is used twice"
         );
-        self.notify(Event::Request(Request {
-            id: RequestId(id),
-            class,
-            accepted_class: None,
-            tenant,
-            key,
-            deadline,
-            estimated_work: None,
-            is_client_retry: false,
-            is_write: false,
-            shard: None,
-        }));
+        self.notify(Event::Request(request));
     }
 
     /// Ends an attempt in flight. Does nothing if there is no such attempt.
--- a/crates/load-balancing/tests/balancer/main.rs
+++ b/crates/load-balancing/tests/balancer/main.rs
@@ -3,8 +3,8 @@
 //! - Basic algorithm and its extensions: [`queueing`], [`estimates`], [`faults`], [`slow_start`], [`membership`],
 //!   [`subset_and_share`], [`concurrency`] and [`tenants`].
 //! - [`rules`]: invariants, checked over random sequences of events.
-//! - [`reported_facts`]: upstreams that report their slots and load, a configured slow-start rate, and settings that
-//!   change at run time.
+//! - [`reported_facts`]: upstreams that report their slots and load, and a configured slow-start rate.
+//! - [`reconfiguration`]: settings that change at run time.
 //! - [`fleet`]: many balancers and the upstreams that they share.
 
 mod concurrency;
@@ -15,6 +15,7 @@
 mod harness;
 mod membership;
 mod queueing;
+mod reconfiguration;
 mod reported_facts;
 mod rules;
 mod slow_start;
--- a/crates/load-balancing/tests/balancer/rules.rs
+++ b/crates/load-balancing/tests/balancer/rules.rs
@@ -292,11 +292,17 @@
         class: usize,
         change: ClassChange,
     },
+    /// A request arrives that was accepted before the last change of its class.
+    LateRequest {
+        class: usize,
+        wait_ms: i64,
+    },
 }
 
 /// Settings of a class that decide what may become of its requests.
 #[derive(Clone, Debug)]
 struct ClassChange {
+    id: u64,
     effect: Effect,
     zone: Option<u32>,
     max_attempts: Option<usize>,
@@ -306,6 +312,7 @@
 
 impl ClassChange {
     fn apply(self, class: &mut RequestClass) {
+        class.id = self.id;
         class.effect = self.effect;
         class.zones = self.zone.map(|zone| vec![zone]);
         class.max_attempts = self.max_attempts;
@@ -357,10 +364,18 @@
     ];
     let zone = prop::option::of(0..2u32);
     let max_attempts = prop::option::of(1..4usize);
-    let settings = (effect, zone, max_attempts, 100..400i64, any::<bool>());
+    let settings = (
+        0..3u64,
+        effect,
+        zone,
+        max_attempts,
+        100..400i64,
+        any::<bool>(),
+    );
     (0..3usize, settings).prop_map(|(class, settings)| {
-        let (effect, zone, max_attempts, latency_target_ms, in_order) = settings;
+        let (id, effect, zone, max_attempts, latency_target_ms, in_order) = settings;
         let change = ClassChange {
+            id,
             effect,
             zone,
             max_attempts,
@@ -414,6 +429,10 @@
                     .handle(w.now, Event::TimerFired(token + 1000), &mut out);
                 assert!(out.is_empty());
             }
+            RandomEvent::LateRequest { class, wait_ms } => {
+                w.request_accepted_before_change(next, class, Span(wait_ms * MS));
+                next += 1;
+            }
             RandomEvent::ClassChanged { class, change } => {
                 w.change_class(class, |class| change.apply(class));
             }
@@ -472,7 +491,13 @@
 #[test]
 fn requests_keep_what_their_class_allowed_on_arrival() {
     let mut runner = seeded_runner(1000);
-    let event = prop_oneof![3 => events().boxed(), 1 => class_changes().boxed()];
+    let late_request = (0..3usize, 0..700i64)
+        .prop_map(|(class, wait_ms)| RandomEvent::LateRequest { class, wait_ms });
+    let event = prop_oneof![
+        6 => events().boxed(),
+        2 => class_changes().boxed(),
+        1 => late_request.boxed(),
+    ];
     let input = (any::<bool>(), prop::collection::vec(event, 1..250));
     let result = runner.run(&input, |(hedging, events)| {
         let mut s = settings();
