Split the handling of a new request into steps

No change of behaviour: the functions of admission take the pending request, so that a request's class, pool and class index are determined in one place. Tests of load-balancing pass.

--- a/crates/load-balancing/src/policy/admission.rs
+++ b/crates/load-balancing/src/policy/admission.rs
@@ -27,8 +27,7 @@
 impl Balancer {
     /// Handles a new client request: sends, queues or rejects it.
     pub(super) fn on_request(&mut self, now: Time, request: &Request, actions: &mut Vec<Action>) {
-        let accepted_class = request.accepted_class.as_ref();
-        let Some(class) = accepted_class.or(self.settings.classes.get(request.class)) else {
+        let Some(class) = self.accepted_class(request) else {
             actions.push(Action::Reject {
                 request: request.id,
                 retry_after: Span(0),
@@ -38,29 +37,14 @@
         if self.requests.contains_key(&request.id) {
             return;
         }
-        let class = Arc::clone(class);
-        let class_index = self.index_of_class(request.class, &class);
-        // A request over quota may not use any of the queue wait: otherwise a tenant that sent three times its quota
-        // took other tenants' share while the upstreams were full.
+        let pending = self.pending_request(now, request, class);
         let is_within_quota = self.is_within_quota(now, request.tenant);
-        let queue_share = if is_within_quota {
-            self.queue_share(&class, class_index)
-        } else {
-            0.0
-        };
-        let pending = self.pending_request(now, request, class_index, class);
-        let (queue_until, pool) = (pending.queue_until, pending.pool);
-        let ahead = pending
-            .ordering_key
-            .and_then(|key| self.ordered_queues.get(&key))
-            .map_or(0, |queue| queue.waiting.len());
+        let is_admitted = self.turn_of(now, &pending) < pending.queue_until
+            && self.is_admitted(&pending, is_within_quota, request.is_client_retry);
         let rules = &self.settings.rules;
         self.fleet.retry_budget.count_request(now, rules);
         self.requests.insert(request.id, pending);
-        let wait_for_turn = ahead as f64 * self.fleet.class(class_index).mean;
-        let starts_at = now.plus(Span::from_micros(wait_for_turn));
-        if starts_at >= queue_until || !self.is_admitted(pool, queue_share, request.is_client_retry)
-        {
+        if !is_admitted {
             self.reject(request.id, actions);
             return;
         }
@@ -72,11 +56,17 @@
         self.dispatch(now, actions);
     }
 
+    /// Returns the class that a request was accepted with; `None` if it is unknown.
+    fn accepted_class(&self, request: &Request) -> Option<Arc<RequestClass>> {
+        let accepted = request.accepted_class.as_ref();
+        let current = || self.settings.classes.get(request.class);
+        accepted.or_else(current).cloned()
+    }
+
     fn pending_request(
         &mut self,
         now: Time,
         request: &Request,
-        class_index: Option<usize>,
         class: Arc<RequestClass>,
     ) -> PendingRequest {
         let pool = self.pool_of_class(&class);
@@ -85,7 +75,7 @@
         // Otherwise the whole queue would be served late during sustained overload.
         let margin = Span(-SWEEPS_BEFORE_TARGET * self.sweep_interval.0);
         PendingRequest {
-            class_index,
+            class_index: self.index_of_class(request.class, &class),
             pool,
             max_attempts: class.max_attempts_within(self.settings.limits.max_attempts),
             deadline: request.deadline,
@@ -104,10 +94,30 @@
         }
     }
 
+    /// Returns when a request is expected to be the first of its ordering key.
+    fn turn_of(&self, now: Time, request: &PendingRequest) -> Time {
+        let key = request.ordering_key;
+        let queue = key.and_then(|key| self.ordered_queues.get(&key));
+        let ahead = queue.map_or(0, |queue| queue.waiting.len());
+        let mean = self.fleet.class(request.class_index).mean;
+        now.plus(Span::from_micros(ahead as f64 * mean))
+    }
+
     /// Applies the admission check: the number of queued and in-flight requests must stay below the sum of N_i.
-    /// `queue_share` is the share of the maximum queue wait that the request may use.
-    fn is_admitted(&self, pool: usize, queue_share: f64, is_client_retry: bool) -> bool {
-        let pool = &self.capacity.pools[pool];
+    fn is_admitted(
+        &self,
+        request: &PendingRequest,
+        is_within_quota: bool,
+        is_client_retry: bool,
+    ) -> bool {
+        // A request over quota may not use any of the queue wait: otherwise a tenant that sent three times its quota
+        // took other tenants' share while the upstreams were full.
+        let queue_share = if is_within_quota {
+            self.queue_share(request)
+        } else {
+            0.0
+        };
+        let pool = &self.capacity.pools[request.pool];
         let qos_time = self.fleet.service_time + self.fleet.max_queue_wait * queue_share;
         let mut limit = pool.admission_limit_per_us * qos_time;
         // The burst headroom is reserved for first tries. During overload it was used up by clients' retries, which are
@@ -123,12 +133,15 @@
     /// Returns the share of the maximum queue wait that a class may use, by the rank of its value per unit of work
     /// among the classes with comparable traffic. When all classes were ranked, a route that carried all the traffic
     /// got the smallest share because of routes that were hardly used.
-    fn queue_share(&self, class: &RequestClass, index: Option<usize>) -> f64 {
+    fn queue_share(&self, request: &PendingRequest) -> f64 {
         let fleet = &self.fleet;
-        let value_of_work =
-            |class: &RequestClass, index| class.value / fleet.class(index).mean.max(1.0);
-        let own_value = value_of_work(class, index);
-        let own_share = index.map_or(0.0, |index| fleet.class_share[index]);
+        let value_of_work = |class: &RequestClass, index: Option<usize>| {
+            let mean_work = fleet.class(index).mean.max(1.0);
+            class.value / mean_work
+        };
+        let own_index = request.class_index;
+        let own_value = value_of_work(&request.class, own_index);
+        let own_share = own_index.map_or(0.0, |index| fleet.class_share[index]);
         let least_share = own_share * MIN_RIVAL_SHARE;
         let (mut rivals, mut below) = (0_usize, 0_usize);
         for (rival, class) in self.settings.classes.iter().enumerate() {
